Add the operators' text and its boundary types

Cause: the daemon, its configuration and the command line need one parsed and checked form of the text.

--- a/crates/dotterelhinge/src/lib.rs
+++ b/crates/dotterelhinge/src/lib.rs
@@ -1,1 +1,4 @@
 //! Placeholder.
+
+pub mod border;
+pub mod text;
--- /dev/null
+++ b/crates/dotterelhinge/src/text/check.rs
@@ -0,0 +1,258 @@
+//! Cross-field rules of a text that passed its schema.
+
+use std::{
+    collections::{HashMap, hash_map},
+    hash::Hash,
+    net::SocketAddr,
+};
+
+use crate::border;
+
+use super::Fault;
+
+/// Returns all faults.
+pub(super) fn check(text: &border::text::Text) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let zones = names(
+        &mut faults,
+        "/availability_zones",
+        text.availability_zones.iter().map(|zone| &*zone.name),
+    );
+    names(
+        &mut faults,
+        "/customers",
+        text.customers.iter().map(|customer| &*customer.name),
+    );
+    let classes = names(
+        &mut faults,
+        "/classes",
+        text.classes.iter().map(|class| &*class.name),
+    );
+    let services = names(
+        &mut faults,
+        "/services",
+        text.services.iter().map(|service| &*service.name),
+    );
+    upstreams(&mut faults, text, &zones);
+    dependencies(&mut faults, text, &services);
+    routes(&mut faults, text, &services, &classes);
+    faults
+}
+
+/// Parses an address that can be connected to.
+pub(crate) fn address(text: &str) -> Option<SocketAddr> {
+    text.parse::<SocketAddr>()
+        .ok()
+        .filter(|address| address.port() != 0 && !address.ip().is_unspecified())
+}
+
+/// Keeps the place of the first use of a key and reports later ones.
+fn unique<K: Eq + Hash>(
+    seen: &mut HashMap<K, String>,
+    faults: &mut Vec<Fault>,
+    key: K,
+    path: String,
+    value: impl FnOnce() -> String,
+    what: &str,
+) {
+    match seen.entry(key) {
+        hash_map::Entry::Occupied(first) => faults.push(Fault::text(
+            path,
+            value(),
+            format!("unique {what}; also at {}", first.get()),
+        )),
+        hash_map::Entry::Vacant(place) => {
+            place.insert(path);
+        }
+    }
+}
+
+/// Checks that names are unique and returns their positions.
+fn names<'a>(
+    faults: &mut Vec<Fault>,
+    path: &str,
+    names: impl Iterator<Item = &'a str>,
+) -> HashMap<&'a str, usize> {
+    let mut seen = HashMap::new();
+    for (index, name) in names.enumerate() {
+        match seen.entry(name) {
+            hash_map::Entry::Occupied(first) => faults.push(Fault::text(
+                format!("{path}/{index}/name"),
+                quote(name),
+                format!("unique name; also at {path}/{}/name", first.get()),
+            )),
+            hash_map::Entry::Vacant(place) => {
+                place.insert(index);
+            }
+        }
+    }
+    seen
+}
+
+fn quote(text: &str) -> String {
+    serde_json::Value::from(text).to_string()
+}
+
+fn known(
+    faults: &mut Vec<Fault>,
+    names: &HashMap<&str, usize>,
+    path: impl FnOnce() -> String,
+    name: &str,
+    what: &str,
+) {
+    if !names.contains_key(name) {
+        faults.push(Fault::text(path(), quote(name), format!("name of {what}")));
+    }
+}
+
+fn upstreams(faults: &mut Vec<Fault>, text: &border::text::Text, zones: &HashMap<&str, usize>) {
+    let mut addresses = HashMap::new();
+    for (index, service) in text.services.iter().enumerate() {
+        let base = format!("/services/{index}");
+        if service.floor as usize > service.upstreams.len() {
+            faults.push(Fault::text(
+                format!("{base}/floor"),
+                service.floor,
+                format!(
+                    "at most the number of upstreams, {}",
+                    service.upstreams.len()
+                ),
+            ));
+        }
+        names(
+            faults,
+            &format!("{base}/upstreams"),
+            service.upstreams.iter().map(|upstream| &*upstream.name),
+        );
+        for (index, upstream) in service.upstreams.iter().enumerate() {
+            known(
+                faults,
+                zones,
+                || format!("{base}/upstreams/{index}/availability_zone"),
+                &upstream.availability_zone,
+                "an availability zone",
+            );
+            let path = format!("{base}/upstreams/{index}/address");
+            match address(&upstream.address) {
+                // The slots of an address belong to one service; a second one
+                // would grant them again.
+                Some(address) => unique(
+                    &mut addresses,
+                    faults,
+                    address,
+                    path,
+                    || quote(&upstream.address),
+                    "address",
+                ),
+                None => faults.push(Fault::text(
+                    path,
+                    quote(&upstream.address),
+                    "IP address and port to connect to",
+                )),
+            }
+        }
+    }
+}
+
+/// Checks that dependencies exist and have no cycle. Each cycle is reported at
+/// the dependency that closes it.
+fn dependencies(
+    faults: &mut Vec<Fault>,
+    text: &border::text::Text,
+    services: &HashMap<&str, usize>,
+) {
+    for (index, service) in text.services.iter().enumerate() {
+        for (position, name) in service.depends_on.iter().enumerate() {
+            let path = || format!("/services/{index}/depends_on/{position}");
+            known(faults, services, path, name, "a service");
+        }
+    }
+
+    #[derive(Clone, Copy, PartialEq)]
+    enum Visit {
+        New,
+        Open,
+        Done,
+    }
+    let mut visits = vec![Visit::New; text.services.len()];
+    for start in 0..text.services.len() {
+        if visits[start] != Visit::New {
+            continue;
+        }
+        visits[start] = Visit::Open;
+        // Each entry is a service on the current chain and its next dependency.
+        let mut chain = vec![(start, 0)];
+        while let Some((service, position)) = chain.last_mut() {
+            let service = *service;
+            let Some(name) = text.services[service].depends_on.get(*position) else {
+                visits[service] = Visit::Done;
+                chain.pop();
+                continue;
+            };
+            let position = std::mem::replace(position, *position + 1);
+            let Some(&next) = services.get(&**name) else {
+                continue;
+            };
+            match visits[next] {
+                Visit::New => {
+                    visits[next] = Visit::Open;
+                    chain.push((next, 0));
+                }
+                Visit::Open => {
+                    let cycle = chain
+                        .iter()
+                        .skip_while(|(service, _)| *service != next)
+                        .map(|(service, _)| &*text.services[*service].name)
+                        .chain([&**name])
+                        .collect::<Vec<_>>();
+                    faults.push(Fault::text(
+                        format!("/services/{service}/depends_on/{position}"),
+                        quote(name),
+                        format!("no dependency cycle: {}", cycle.join(" -> ")),
+                    ));
+                }
+                Visit::Done => {}
+            }
+        }
+    }
+}
+
+fn routes(
+    faults: &mut Vec<Fault>,
+    text: &border::text::Text,
+    services: &HashMap<&str, usize>,
+    classes: &HashMap<&str, usize>,
+) {
+    let mut seen = HashMap::new();
+    for (index, route) in text.routes.iter().enumerate() {
+        let base = format!("/routes/{index}");
+        let service = || format!("{base}/service");
+        known(faults, services, service, &route.service, "a service");
+        let class = || format!("{base}/class");
+        known(faults, classes, class, &route.class, "a class");
+
+        let host = route.host.as_deref();
+        let prefix = &*route.path_prefix;
+        let value = |method: &str| {
+            let host = host.unwrap_or("any host");
+            format!("{method} {host} {prefix}")
+        };
+        if route.methods.is_empty() {
+            let key = (host, prefix, "");
+            unique(
+                &mut seen,
+                faults,
+                key,
+                base,
+                || value("any method"),
+                "route",
+            );
+            continue;
+        }
+        for (position, method) in route.methods.iter().enumerate() {
+            let path = format!("{base}/methods/{position}");
+            let key = (host, prefix, &**method);
+            unique(&mut seen, faults, key, path, || value(method), "route");
+        }
+    }
+}
--- /dev/null
+++ b/crates/dotterelhinge/src/text/delta.rs
@@ -0,0 +1,99 @@
+//! Differences between texts as JSON Patch (RFC 6902).
+
+use bytes::Bytes;
+use error_stack::Report;
+use json_patch::{AddOperation, Patch, PatchOperation, RemoveOperation, ReplaceOperation};
+use serde_json::Value;
+
+use super::{Error, Kind, Text, schema};
+
+/// Returns a JSON Patch that turns one text into another.
+pub fn delta(old: &Text, new: &Text) -> Bytes {
+    let mut patch = Patch::default();
+    compare(&value(old), &value(new), "", &mut patch.0);
+    Bytes::from(serde_json::to_vec(&patch).expect("a patch is JSON"))
+}
+
+/// Applies a JSON Patch and checks the hash of the result.
+pub fn apply(old: &Text, delta: &[u8], hash: &str) -> Result<Text, Report<Error>> {
+    let patch: Patch = serde_json::from_slice(delta)
+        .map_err(|error| Error::with_detail(Kind::Delta, format_args!("patch: {error}")))?;
+    let mut value = value(old);
+    // The value is dropped on failure, so nothing needs to be undone.
+    json_patch::patch_unsafe(&mut value, &patch)
+        .map_err(|error| Error::with_detail(Kind::Delta, error))?;
+    let text = Text::from_value(value)?;
+    if **text.hash() != *hash {
+        return Err(Error::with_detail(
+            Kind::Hash,
+            format_args!("{} instead of {hash}", text.hash()),
+        ));
+    }
+    Ok(text)
+}
+
+fn value(text: &Text) -> Value {
+    serde_json::from_slice(&text.canonical()).expect("a text is JSON")
+}
+
+/// Appends the operations for one value. `json_patch::diff` compares arrays by
+/// position, so that one inserted route would replace all routes after it;
+/// here the equal ends of two arrays are left out.
+fn compare(old: &Value, new: &Value, path: &str, patch: &mut Vec<PatchOperation>) {
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => {
+            for (name, value) in new {
+                let path = schema::pointer(path, name);
+                match old.get(name) {
+                    Some(old) => compare(old, value, &path, patch),
+                    None => patch.push(add(&path, value)),
+                }
+            }
+            for name in old.keys().filter(|name| !new.contains_key(*name)) {
+                patch.push(remove(&schema::pointer(path, name)));
+            }
+        }
+        (Value::Array(old), Value::Array(new)) => compare_arrays(old, new, path, patch),
+        _ if old == new => {}
+        _ => patch.push(PatchOperation::Replace(ReplaceOperation {
+            path: pointer(path),
+            value: new.clone(),
+        })),
+    }
+}
+
+fn compare_arrays(old: &[Value], new: &[Value], path: &str, patch: &mut Vec<PatchOperation>) {
+    let head = old.iter().zip(new).take_while(|(a, b)| a == b).count();
+    let (old, new) = (&old[head..], &new[head..]);
+    let ends = old.iter().rev().zip(new.iter().rev());
+    let tail = ends.take_while(|(a, b)| a == b).count();
+    let (old, new) = (&old[..old.len() - tail], &new[..new.len() - tail]);
+
+    let both = old.len().min(new.len());
+    for (position, (old, new)) in old.iter().zip(new).enumerate() {
+        compare(old, new, &format!("{path}/{}", head + position), patch);
+    }
+    for _ in both..old.len() {
+        patch.push(remove(&format!("{path}/{}", head + both)));
+    }
+    for (position, value) in new.iter().enumerate().skip(both) {
+        patch.push(add(&format!("{path}/{}", head + position), value));
+    }
+}
+
+fn pointer(path: &str) -> json_patch::jsonptr::PointerBuf {
+    json_patch::jsonptr::PointerBuf::parse(path).expect("names are escaped")
+}
+
+fn add(path: &str, value: &Value) -> PatchOperation {
+    PatchOperation::Add(AddOperation {
+        path: pointer(path),
+        value: value.clone(),
+    })
+}
+
+fn remove(path: &str) -> PatchOperation {
+    PatchOperation::Remove(RemoveOperation {
+        path: pointer(path),
+    })
+}
