Load and check the settings of a process

Cause: every part of the daemon needs its addresses and limits from one checked place.

Change: settings::Settings with load and parse; all faults are returned with JSON pointer, value and rule.

--- a/crates/dotterelhinge/src/lib.rs
+++ b/crates/dotterelhinge/src/lib.rs
@@ -1,4 +1,5 @@
 //! Placeholder.
 
 pub mod border;
+pub mod settings;
 pub mod text;
--- a/crates/dotterelhinge/src/text.rs
+++ b/crates/dotterelhinge/src/text.rs
@@ -35,11 +35,11 @@
 */
 
 mod canonical;
-mod check;
+pub(crate) mod check;
 mod delta;
 mod error;
 mod routes;
-mod schema;
+pub(crate) mod schema;
 mod snapshot;
 
 use std::sync::Arc;
@@ -52,7 +52,7 @@
 pub use delta::{apply, delta};
 pub use error::{Error, Fault, Kind};
 pub use routes::Route;
-pub use schema::Schema;
+pub(crate) use schema::Schema;
 pub use snapshot::{Snapshot, Zone};
 
 /// A valid text.
--- a/crates/dotterelhinge/src/text/error.rs
+++ b/crates/dotterelhinge/src/text/error.rs
@@ -9,7 +9,8 @@
 pub struct Fault {
     /// Where, as a JSON Pointer (RFC 6901); empty for the whole document.
     pub path: String,
-    /// The offending value as JSON, shortened; `absent` for a missing member.
+    /// The offending value as JSON, shortened, or in words if it has several
+    /// parts; `absent` for a missing member.
     pub value: String,
     /// What the value has to be.
     pub rule: String,
@@ -20,7 +21,7 @@
 const VALUE_CHARACTERS: usize = 120;
 
 impl Fault {
-    pub(super) fn new(
+    pub(crate) fn new(
         path: impl Into<String>,
         value: &serde_json::Value,
         rule: impl Into<String>,
@@ -37,7 +38,7 @@
         }
     }
 
-    pub(super) fn text(
+    pub(crate) fn text(
         path: impl Into<String>,
         value: impl fmt::Display,
         rule: impl Into<String>,
--- a/crates/dotterelhinge/src/text/schema.rs
+++ b/crates/dotterelhinge/src/text/schema.rs
@@ -9,7 +9,7 @@
 
 /// A compiled JSON Schema.
 #[derive(Debug)]
-pub struct Schema {
+pub(crate) struct Schema {
     validator: jsonschema::Validator,
 }
 
@@ -19,14 +19,14 @@
     /// # Panics
     ///
     /// Panics if it is not a valid JSON Schema.
-    pub fn new(schema: &str) -> Self {
+    pub(crate) fn new(schema: &str) -> Self {
         let schema = serde_json::from_str(schema).expect("schema is JSON");
         let validator = jsonschema::validator_for(&schema).expect("schema is valid");
         Self { validator }
     }
 
     /// Returns all faults of a document.
-    pub fn check(&self, document: &Value) -> Vec<Fault> {
+    pub(crate) fn check(&self, document: &Value) -> Vec<Fault> {
         // `is_valid` builds no error values, which makes the usual case cheap.
         if self.validator.is_valid(document) {
             return Vec::new();
@@ -66,7 +66,7 @@
 }
 
 /// Appends a member name to a JSON Pointer.
-pub(super) fn pointer(base: &str, member: &str) -> String {
+pub(crate) fn pointer(base: &str, member: &str) -> String {
     format!("{base}/{}", member.replace('~', "~0").replace('/', "~1"))
 }
 
