Add the command line for texts and daemons

Cause: operators act by editing the text and by starting and stopping hosts, and need to see which daemons lag.

Change: dotterelhingectl with check, apply, show, history, diff, status, upstreams, latency, drain and completion; stable exit codes; text and JSON output. Latency adds up the histograms of daemons instead of averaging their percentiles.

Ruled out: a Base64 library, since the workspace declares none and decoding is 25 lines.

--- /dev/null
+++ b/crates/dotterelhinge/src/bin/dotterelhingectl.rs
@@ -0,0 +1,7 @@
+//! Command line of operators.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    dotterelhinge::ctl::run(std::env::args_os())
+}
--- /dev/null
+++ b/crates/dotterelhinge/src/ctl.rs
@@ -0,0 +1,107 @@
+/*!
+The command line `dotterelhingectl`.
+
+```
+use dotterelhinge::ctl;
+
+let matches = ctl::command().try_get_matches_from(["dotterelhingectl", "check", "text.json"]);
+assert!(matches.is_ok());
+```
+
+# Guarantees
+
+- Exit codes are stable; see [`Code`].
+- `apply` makes at most one version per run. A lost answer is settled by
+  reading the history; if that fails too, the exit code is
+  [`Code::Unproven`].
+- A text that the head already holds makes no new version.
+
+# Costs
+
+Commands on daemons ask 64 of them at a time and wait at most 5 s for each.
+*/
+
+pub mod admin;
+mod base64;
+mod command;
+mod edit;
+mod error;
+mod fleet;
+mod latency;
+mod output;
+pub mod versions;
+
+use std::{ffi::OsString, io::Write, process::ExitCode};
+
+use clap::ArgMatches;
+use error_stack::Report;
+
+pub use command::command;
+pub use error::{Code, Error};
+pub use output::Answer;
+use versions::Versions;
+
+/// Runs the program with the given arguments, the program name first.
+pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let matches = match command().try_get_matches_from(arguments) {
+        Ok(matches) => matches,
+        Err(error) => {
+            // A closed output leaves nobody to tell.
+            let _ = error.print();
+            return if error.use_stderr() {
+                Code::Usage.into()
+            } else {
+                Code::Ok.into()
+            };
+        }
+    };
+    let as_json = matches
+        .get_one::<String>("output")
+        .is_some_and(|format| format == "json");
+    let result = block_on(async {
+        let versions = match matches.get_one::<String>("platform") {
+            Some(base) => Some(versions::connect(base)?),
+            None => None,
+        };
+        execute(&matches, versions.as_deref()).await
+    });
+    let answer = result.unwrap_or_else(|report| output::failure(&report));
+    let (code, stdout, stderr) = answer.render(as_json);
+    let _ = std::io::stdout().write_all(stdout.as_bytes());
+    let _ = std::io::stderr().write_all(stderr.as_bytes());
+    code.into()
+}
+
+fn block_on<T>(task: impl Future<Output = T>) -> T {
+    actix::System::new().block_on(task)
+}
+
+/// Runs a parsed command. `versions` is the platform, if one is given.
+pub async fn execute(
+    matches: &ArgMatches,
+    versions: Option<&dyn Versions>,
+) -> Result<Answer, Report<Error>> {
+    let platform = || {
+        versions.ok_or_else(|| Report::new(Error::new(Code::Usage, "--platform URL is required")))
+    };
+    let daemons = admin::Client::new(
+        matches
+            .get_many("admin")
+            .unwrap_or_default()
+            .copied()
+            .collect(),
+    );
+    match matches.subcommand() {
+        Some(("check", matches)) => edit::check(matches),
+        Some(("apply", matches)) => edit::apply(matches, platform()?).await,
+        Some(("show", matches)) => edit::show(matches, platform()?).await,
+        Some(("history", matches)) => edit::history(matches, platform()?).await,
+        Some(("diff", matches)) => edit::diff(matches, platform()?).await,
+        Some(("status", _)) => fleet::status(&daemons, versions).await,
+        Some(("upstreams", matches)) => fleet::upstreams(matches, &daemons).await,
+        Some(("latency", matches)) => latency::latency(matches, &daemons).await,
+        Some(("drain", matches)) => fleet::drain(matches, &daemons).await,
+        Some(("completion", matches)) => Ok(command::completion(matches)),
+        _ => Err(Report::new(Error::new(Code::Usage, "no command"))),
+    }
+}
--- /dev/null
+++ b/crates/dotterelhinge/src/ctl/edit.rs
@@ -0,0 +1,294 @@
+//! Commands on texts and versions.
+
+use std::{fs, path::PathBuf, time::Duration};
+
+use clap::ArgMatches;
+use error_stack::Report;
+use json_patch::PatchOperation;
+use serde_json::{Value, json};
+
+use crate::text::{self, Text};
+
+use super::{
+    Answer, Code, Error,
+    command::Base,
+    output,
+    versions::{Accept, Edit, Head, Result, Versions},
+};
+
+/// Times that the history is read back for an unproven edit, and the wait
+/// before each. Together they outlast a short outage of the platform.
+const RESOLVE_ATTEMPTS: u32 = 5;
+const RESOLVE_WAIT: Duration = Duration::from_secs(1);
+
+/// Changes at most that a conflict lists for each edit.
+const CONFLICT_CHANGES: usize = 10;
+
+fn load(matches: &ArgMatches) -> Result<(String, Text)> {
+    let path: &PathBuf = matches.get_one("file").expect("required");
+    let name = path.display().to_string();
+    let document = fs::read(path).map_err(|error| {
+        let message = format!("{name} cannot be read: {error}");
+        Report::new(error).change_context(Error::new(Code::Usage, message))
+    })?;
+    match Text::parse(&document) {
+        Ok(text) => Ok((name, text)),
+        Err(report) => {
+            let error = Error::invalid(&name, report.current_context());
+            Err(report.change_context(error))
+        }
+    }
+}
+
+pub(super) fn check(matches: &ArgMatches) -> Result<Answer> {
+    let (name, text) = load(matches)?;
+    let snapshot = text.snapshot();
+    let upstreams: usize = snapshot
+        .services
+        .iter()
+        .map(|service| service.upstreams.len())
+        .sum();
+    Ok(Answer::new(
+        format!(
+            "{name} is valid: {} services, {upstreams} upstreams, {} classes, {} customers, hash {}",
+            snapshot.services.len(),
+            snapshot.classes.len(),
+            snapshot.customers.len(),
+            text.hash()
+        ),
+        json!({
+            "valid": true,
+            "hash": text.hash(),
+            "services": snapshot.services.len(),
+            "upstreams": upstreams,
+            "classes": snapshot.classes.len(),
+            "customers": snapshot.customers.len(),
+        }),
+    ))
+}
+
+pub(super) async fn apply(matches: &ArgMatches, versions: &dyn Versions) -> Result<Answer> {
+    let argument = |name| matches.get_one::<String>(name).expect("has a value");
+    let (name, text) = load(matches)?;
+    let head = versions.head().await?;
+    // The same edit may have been accepted by an earlier run whose answer was
+    // lost. Sending it again would make a second version.
+    if let Some(head) = head.as_ref().filter(|head| head.hash == *text.hash()) {
+        return Ok(Answer::new(
+            format!(
+                "{name} is already version {} by {}",
+                head.version, head.author
+            ),
+            json!({"result": "unchanged", "version": head.version, "hash": head.hash}),
+        ));
+    }
+    let base = match matches.get_one("base").expect("required") {
+        Base::Latest => head.map_or(0, |head| head.version),
+        Base::Version(version) => *version,
+    };
+    let canonical = String::from_utf8(text.canonical()).expect("JSON is UTF-8");
+    let mut accept = versions
+        .accept(base, &canonical, argument("author"), argument("summary"))
+        .await?;
+    for _ in 0..RESOLVE_ATTEMPTS {
+        let Accept::Unproven(edit) = &accept else {
+            break;
+        };
+        tokio::time::sleep(RESOLVE_WAIT).await;
+        if let Ok(known) = versions.resolve(edit).await {
+            accept = known;
+        }
+    }
+    match accept {
+        Accept::Accepted { version } => Ok(Answer::new(
+            format!("{name} is version {version}, hash {}", text.hash()),
+            json!({"result": "accepted", "version": version, "hash": text.hash()}),
+        )),
+        Accept::Conflict { version, edits } => Ok(conflict(versions, base, version, edits).await),
+        Accept::Unproven(edit) => {
+            let text = format!(
+                "{name} was sent as version {}, edit {}, and no answer proves the outcome; \
+                 `dotterelhingectl history` shows the edit if it was accepted",
+                edit.version, edit.edit
+            );
+            let json = json!({"result": "unproven", "edit": edit});
+            Ok(problem(Code::Unproven, text, json))
+        }
+    }
+}
+
+/// A result that only says what went wrong.
+fn problem(code: Code, text: String, json: Value) -> Answer {
+    let mut answer = Answer::new("", json).with_code(code);
+    answer.problems.push(text);
+    answer
+}
+
+/// Names who changed what since the base. The changes are left out if the
+/// texts cannot be read.
+async fn conflict(versions: &dyn Versions, base: u64, version: u64, edits: Vec<Edit>) -> Answer {
+    let mut text = format!("the head is version {version}, not {base}");
+    let mut listed = Vec::new();
+    let mut previous = match edit_of(versions, base).await {
+        Ok(edit) => versions.text(&edit.hash).await.ok(),
+        Err(_) => None,
+    };
+    for edit in &edits {
+        let next = versions.text(&edit.hash).await.ok();
+        let changes = match (&previous, &next) {
+            (Some(old), Some(new)) => changes(old, new).unwrap_or_default(),
+            _ => Vec::new(),
+        };
+        previous = next;
+        text.push_str(&format!("\n  {}", describe(edit)));
+        for change in changes.iter().take(CONFLICT_CHANGES) {
+            text.push_str(&format!("\n    {}", change.text));
+        }
+        if changes.len() > CONFLICT_CHANGES {
+            let more = changes.len() - CONFLICT_CHANGES;
+            text.push_str(&format!("\n    and {more} more changes"));
+        }
+        let changes: Vec<_> = changes.into_iter().map(|change| change.text).collect();
+        listed.push(json!({"edit": edit, "changes": changes}));
+    }
+    let json = json!({"result": "conflict", "base": base, "version": version, "edits": listed});
+    problem(Code::Conflict, text, json)
+}
+
+fn describe(edit: &Edit) -> String {
+    let time = output::time(edit.time);
+    let Edit {
+        version,
+        author,
+        summary,
+        ..
+    } = edit;
+    format!("version {version} by {author} at {time}: {summary}")
+}
+
+async fn newest(versions: &dyn Versions) -> Result<Head> {
+    versions
+        .head()
+        .await?
+        .ok_or_else(|| Report::new(Error::new(Code::Usage, "the platform holds no version yet")))
+}
+
+async fn edit_of(versions: &dyn Versions, version: u64) -> Result<Edit> {
+    let head = newest(versions).await?;
+    let missing = || {
+        let message = format!(
+            "version {version} does not exist; the head is {}",
+            head.version
+        );
+        Report::new(Error::new(Code::Usage, message))
+    };
+    let back = head.version.checked_sub(version).ok_or_else(missing)?;
+    let edits = versions.history(back + 1).await?;
+    edits
+        .into_iter()
+        .find(|edit| edit.version == version)
+        .ok_or_else(missing)
+}
+
+pub(super) async fn show(matches: &ArgMatches, versions: &dyn Versions) -> Result<Answer> {
+    let (version, hash) = match matches.get_one("version") {
+        Some(&version) => (version, edit_of(versions, version).await?.hash),
+        None => {
+            let head = newest(versions).await?;
+            (head.version, head.hash)
+        }
+    };
+    let value = parse(&versions.text(&hash).await?)?;
+    let text = serde_json::to_string_pretty(&value).expect("a value is JSON");
+    Ok(Answer::new(
+        text,
+        json!({"version": version, "hash": hash, "text": value}),
+    ))
+}
+
+pub(super) async fn history(matches: &ArgMatches, versions: &dyn Versions) -> Result<Answer> {
+    let count = *matches.get_one("count").expect("has a default");
+    let edits = versions.history(count).await?;
+    let rows: Vec<_> = edits
+        .iter()
+        .map(|edit| {
+            vec![
+                edit.version.to_string(),
+                output::time(edit.time),
+                edit.author.to_string(),
+                edit.hash.to_string(),
+                edit.summary.to_string(),
+            ]
+        })
+        .collect();
+    let titles = [" version", "time", "author", "hash", "summary"];
+    Ok(Answer::new(output::table(&titles, &rows), json!(edits)))
+}
+
+pub(super) async fn diff(matches: &ArgMatches, versions: &dyn Versions) -> Result<Answer> {
+    let version = |name| *matches.get_one::<u64>(name).expect("required");
+    let old = edit_of(versions, version("from")).await?;
+    let new = edit_of(versions, version("to")).await?;
+    let old = versions.text(&old.hash).await?;
+    let new = versions.text(&new.hash).await?;
+    let changes = changes(&old, &new)?;
+    let text = changes
+        .iter()
+        .map(|change| format!("{}\n", change.text))
+        .collect::<String>();
+    let patch: Vec<_> = changes.into_iter().map(|change| change.operation).collect();
+    Ok(Answer::new(text, json!(patch)))
+}
+
+fn parse(text: &str) -> Result<Value> {
+    serde_json::from_str(text).map_err(|error| {
+        let message = format!("the platform holds a text that is not JSON: {error}");
+        Report::new(error).change_context(Error::new(Code::Unavailable, message))
+    })
+}
+
+struct Change {
+    operation: PatchOperation,
+    text: String,
+}
+
+fn changes(old: &str, new: &str) -> Result<Vec<Change>> {
+    let (mut old, new) = (parse(old)?, parse(new)?);
+    let mut changes = Vec::new();
+    for operation in text::operations(&old, &new) {
+        let path = operation.path().to_string();
+        let name = named(&old, &path);
+        let was = old.pointer(&path).unwrap_or(&Value::Null);
+        let text = match &operation {
+            PatchOperation::Add(add) => format!("+ {}: {}", named(&new, &path), add.value),
+            PatchOperation::Replace(replace) => format!("~ {name}: {was} -> {}", replace.value),
+            _ => format!("- {name}: {was}"),
+        };
+        // Later paths count from the state after this operation.
+        let one = std::slice::from_ref(&operation);
+        json_patch::patch_unsafe(&mut old, one).expect("own patch fits");
+        changes.push(Change { operation, text });
+    }
+    Ok(changes)
+}
+
+/// Replaces positions in a JSON Pointer by the names of the items, as far as
+/// they have one.
+fn named(document: &Value, path: &str) -> String {
+    let mut place = Some(document);
+    let mut name = String::new();
+    for segment in path.split('/').skip(1) {
+        let member = segment.replace("~1", "/").replace("~0", "~");
+        let item = place.and_then(|place| match place {
+            Value::Array(items) => items.get(member.parse::<usize>().ok()?),
+            other => other.get(&member),
+        });
+        let own = item
+            .filter(|_| place.is_some_and(Value::is_array))
+            .and_then(|item| item.get("name")?.as_str());
+        name.push('/');
+        name.push_str(own.unwrap_or(&member));
+        place = item;
+    }
+    name
+}
--- /dev/null
+++ b/crates/dotterelhinge/src/ctl/error.rs
@@ -0,0 +1,75 @@
+//! Exit codes and the error that carries one.
+
+use std::{fmt, process::ExitCode};
+
+use crate::text;
+
+/// Exit code of the program. The numbers are part of its interface.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Code {
+    /// Done.
+    Ok = 0,
+    /// Wrong arguments, an unreadable file, or a version or host that does not
+    /// exist.
+    Usage = 2,
+    /// The text is invalid.
+    Invalid = 3,
+    /// Another edit came first.
+    Conflict = 4,
+    /// The platform cannot be reached or gives no usable answer.
+    Unavailable = 5,
+    /// The edit was sent, and whether it was accepted could not be learned.
+    Unproven = 6,
+    /// Daemons lag behind the newest version or cannot be reached.
+    Daemons = 7,
+}
+
+impl From<Code> for ExitCode {
+    fn from(code: Code) -> Self {
+        Self::from(code as u8)
+    }
+}
+
+/// Why a command failed.
+#[derive(Debug)]
+pub struct Error {
+    code: Code,
+    message: String,
+    faults: Vec<text::Fault>,
+}
+
+impl Error {
+    pub(super) fn new(code: Code, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            message: message.into(),
+            faults: Vec::new(),
+        }
+    }
+
+    pub(super) fn invalid(file: &str, error: &text::Error) -> Self {
+        Self {
+            code: Code::Invalid,
+            message: format!("{file} is not a valid text"),
+            faults: error.faults().to_vec(),
+        }
+    }
+
+    /// Returns the exit code.
+    pub fn code(&self) -> Code {
+        self.code
+    }
+
+    /// Returns the faults of an invalid text.
+    pub fn faults(&self) -> &[text::Fault] {
+        &self.faults
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.message)
+    }
+}
+
+impl std::error::Error for Error {}
--- a/crates/dotterelhinge/src/lib.rs
+++ b/crates/dotterelhinge/src/lib.rs
@@ -1,5 +1,6 @@
 //! Placeholder.
 
 pub mod border;
+pub mod ctl;
 pub mod settings;
 pub mod text;
--- a/crates/dotterelhinge/src/text.rs
+++ b/crates/dotterelhinge/src/text.rs
@@ -49,6 +49,7 @@
 
 use crate::border;
 
+pub(crate) use delta::operations;
 pub use delta::{apply, delta};
 pub use error::{Error, Fault, Kind};
 pub use routes::Route;
--- a/crates/dotterelhinge/src/text/delta.rs
+++ b/crates/dotterelhinge/src/text/delta.rs
@@ -9,11 +9,17 @@
 
 /// Returns a JSON Patch that turns one text into another.
 pub fn delta(old: &Text, new: &Text) -> Bytes {
-    let mut patch = Patch::default();
-    compare(&value(old), &value(new), "", &mut patch.0);
+    let patch = Patch(operations(&value(old), &value(new)));
     Bytes::from(serde_json::to_vec(&patch).expect("a patch is JSON"))
 }
 
+/// Returns the operations that turn one document into another.
+pub(crate) fn operations(old: &Value, new: &Value) -> Vec<PatchOperation> {
+    let mut patch = Vec::new();
+    compare(old, new, "", &mut patch);
+    patch
+}
+
 /// Applies a JSON Patch and checks the hash of the result.
 pub fn apply(old: &Text, delta: &[u8], hash: &str) -> Result<Text, Report<Error>> {
     let patch: Patch = serde_json::from_slice(delta)
