Add the request path, the coordinator actor and the ledger of grants

Cause: the daemon needs a path from a caller to an upstream before anything else can be measured.

Ruled out: the HTTP client's connection pool. Its body stream ends in the same way on the last chunk and on a closed connection, and it reports an upstream that closed after the request as a connect error, so neither 'whole' nor 'not run' could be proved.

--- /dev/null
+++ b/crates/dotterelhinge/src/context.rs
@@ -0,0 +1,139 @@
+//! What the threads of one daemon share.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant, UNIX_EPOCH},
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use dotterelhinge_policy::{clock, health};
+
+use crate::{members, metrics, settings, text};
+
+/// A text in force.
+pub struct InForce {
+    /// Version in the platform's table.
+    pub version: u64,
+    /// The text itself, as handed to other daemons.
+    pub text: text::Text,
+    /// The text compiled for requests.
+    pub snapshot: Arc<text::Snapshot>,
+}
+
+/// The last ejections that the coordinator of a service told.
+#[derive(Clone)]
+pub struct Standing {
+    /// When they were received.
+    pub received: Instant,
+    /// Term of the coordinator.
+    pub term: u64,
+    /// Ejected and leaving upstreams.
+    pub view: health::View,
+}
+
+/// State shared by the threads of a daemon.
+pub struct Context {
+    /// Settings of the process.
+    pub settings: settings::Settings,
+    /// The clock.
+    pub clock: Arc<dyn clock::Clock>,
+    /// Start of the process in milliseconds since the epoch; a restart of the
+    /// same host has a higher one.
+    pub incarnation: u64,
+    /// The text in force, once there is one.
+    pub in_force: ArcSwapOption<InForce>,
+    /// Daemons of the fleet as this one sees them.
+    pub members: ArcSwap<members::List>,
+    /// Last known ejections by service.
+    pub standings: Mutex<HashMap<Arc<str>, Standing>>,
+    /// Metrics of the daemon.
+    pub metrics: metrics::Registry,
+    stopping: AtomicBool,
+    unchecked: AtomicBool,
+}
+
+impl Context {
+    /// State of a daemon that has just started.
+    pub fn new(
+        settings: settings::Settings,
+        clock: Arc<dyn clock::Clock>,
+        metrics: metrics::Registry,
+    ) -> Self {
+        let incarnation = clock
+            .wall()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or(Duration::ZERO)
+            .as_millis() as u64;
+        Self {
+            members: ArcSwap::from_pointee(members::List::default()),
+            settings,
+            clock,
+            incarnation,
+            in_force: ArcSwapOption::empty(),
+            standings: Mutex::default(),
+            metrics,
+            stopping: AtomicBool::new(false),
+            unchecked: AtomicBool::new(false),
+        }
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Begins a planned stop; returns whether it had already begun.
+    pub fn stop(&self) -> bool {
+        self.stopping.swap(true, Ordering::AcqRel)
+    }
+
+    /// Whether the process was paused and has not yet compared its version
+    /// with a peer.
+    pub fn unchecked(&self) -> bool {
+        self.unchecked.load(Ordering::Acquire)
+    }
+
+    /// Sets whether a comparison after a pause is due.
+    pub fn set_unchecked(&self, due: bool) {
+        self.unchecked.store(due, Ordering::Release);
+    }
+
+    /// Whether the balancer should send new callers here.
+    pub fn ready(&self) -> bool {
+        !self.stopping() && !self.unchecked() && self.in_force.load().is_some()
+    }
+
+    /// Notes what the coordinator of `service` told, unless a later term told
+    /// something before.
+    pub fn note_standing(&self, service: Arc<str>, term: u64, view: health::View) {
+        let received = self.clock.now();
+        let mut standings = lock(&self.standings);
+        match standings.get(&service) {
+            Some(known) if known.term > term => {}
+            _ => {
+                standings.insert(
+                    service,
+                    Standing {
+                        received,
+                        term,
+                        view,
+                    },
+                );
+            }
+        }
+    }
+
+    /// The last standing of `service`.
+    pub fn standing(&self, service: &str) -> Option<Standing> {
+        lock(&self.standings).get(service).cloned()
+    }
+}
+
+/// Locks a mutex whose data stays sound if a holder panicked.
+pub fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/crates/dotterelhinge/src/entry/attempt.rs
@@ -0,0 +1,201 @@
+//! One attempt of a request on one upstream.
+
+use std::{rc::Rc, time::Instant};
+
+use actix_web::{
+    HttpRequest, HttpResponse,
+    body::SizedStream,
+    http::{Method, StatusCode, header},
+};
+use awc::{ClientRequest, ClientResponse, error::SendRequestError};
+use dotterelhinge_policy::health;
+
+use super::{Exchange, Worker, answer, body, headers, problem, slot, watch};
+use crate::link;
+
+/// How an attempt ended.
+pub enum Ending {
+    /// With an answer for the caller, whole or streaming.
+    Answered(HttpResponse),
+    /// Without one.
+    Failed {
+        /// What went wrong.
+        kind: problem::Kind,
+        /// Whether the upstream may have run the request.
+        outcome: problem::Outcome,
+        /// A whole answer that reports a failure of the upstream, for when no
+        /// attempt is left.
+        answer: Option<HttpResponse>,
+    },
+}
+
+/// An ending without an answer.
+pub fn failed(kind: problem::Kind, outcome: problem::Outcome) -> Ending {
+    Ending::Failed {
+        kind,
+        outcome,
+        answer: None,
+    }
+}
+
+/// Runs one attempt. The slot is given back when the attempt ends, which for a
+/// streamed answer is when its last byte was passed on.
+pub async fn run(
+    worker: &Rc<Worker>,
+    exchange: &Exchange,
+    slot: slot::Slot,
+    request: &HttpRequest,
+    body: &body::Body,
+) -> Ending {
+    let class = exchange.class();
+    let state = Rc::new(link::State::default());
+    let start_by = if class.upload {
+        slot.start_by
+    } else {
+        slot.start_by.min(exchange.deadline)
+    };
+    let address = slot.address();
+    let clock = worker.context.clock.clone();
+    let client = link::client(address, start_by, clock, Rc::clone(&state));
+    let watch = watch::Watch::new(worker, exchange, slot, body);
+    let outgoing = build(&client, exchange, address, request, watch.now());
+    let started = watch.started();
+    let sent = watch
+        .until(send(outgoing, request, body), || body.moved().max(started))
+        .await;
+    let response = match sent {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) => {
+            let (kind, outcome, seen) = classify(&state, body, &error);
+            log::debug!(event = "attempt_failed", request_id = exchange.id, upstream = address.to_string(),
+                kind = kind.name(), error = error.to_string(); "attempt failed");
+            watch.settle(seen, false);
+            return failed(kind, outcome);
+        }
+        Err(stall) => return stalled(stall, &state, watch),
+    };
+    answer::receive(exchange, watch, response, state, request).await
+}
+
+fn build(
+    client: &awc::Client,
+    exchange: &Exchange,
+    address: std::net::SocketAddr,
+    request: &HttpRequest,
+    now: Instant,
+) -> ClientRequest {
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or("/", |path_and_query| path_and_query.as_str());
+    let mut outgoing = client
+        .request(request.method().clone(), format!("http://{address}{path}"))
+        .force_close();
+    for (name, value) in headers::end_to_end(request.headers()) {
+        if *name != header::CONTENT_LENGTH && *name != header::EXPECT {
+            outgoing = outgoing.append_header((name, value));
+        }
+    }
+    if let Some(peer) = request.peer_addr() {
+        outgoing = outgoing.append_header((headers::FORWARDED_FOR, peer.ip().to_string()));
+    }
+    outgoing = outgoing.insert_header((headers::REQUEST_ID, exchange.id.as_str()));
+    if !exchange.class().upload {
+        let left = exchange.left(now).as_millis();
+        outgoing = outgoing.insert_header((headers::DEADLINE, left.to_string()));
+    } else {
+        outgoing.headers_mut().remove(headers::DEADLINE);
+    }
+    if exchange.class().upload && has_body(request) {
+        // The upstream can shed before the body is sent.
+        outgoing = outgoing.insert_header((header::EXPECT, "100-continue"));
+    }
+    outgoing
+}
+
+fn content_length(request: &HttpRequest) -> Option<u64> {
+    let value = request.headers().get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+fn has_body(request: &HttpRequest) -> bool {
+    content_length(request).is_some_and(|length| length > 0)
+        || request.headers().contains_key(header::TRANSFER_ENCODING)
+}
+
+async fn send(
+    outgoing: ClientRequest,
+    request: &HttpRequest,
+    body: &body::Body,
+) -> Result<ClientResponse, SendRequestError> {
+    match content_length(request) {
+        Some(length) if length > 0 => {
+            outgoing
+                .send_body(SizedStream::new(length, body.reader()))
+                .await
+        }
+        None if has_body(request) => outgoing.send_stream(body.reader()).await,
+        _ if matches!(*request.method(), Method::POST | Method::PUT | Method::PATCH) => {
+            outgoing.send_body(bytes::Bytes::new()).await
+        }
+        _ => outgoing.send().await,
+    }
+}
+
+/// What a failed exchange tells. An attempt is `NotRun` only if no connection
+/// was handed to the HTTP client.
+fn classify(
+    state: &link::State,
+    body: &body::Body,
+    error: &SendRequestError,
+) -> (problem::Kind, problem::Outcome, health::Outcome) {
+    use problem::{Kind, Outcome};
+
+    if state.lapsed.get() {
+        return (Kind::Deadline, Outcome::NotRun, health::Outcome::Neutral);
+    }
+    if !state.begun.get() {
+        let seen = match error {
+            SendRequestError::Connect(_) => health::Outcome::ConnectFailed,
+            _ => health::Outcome::Neutral,
+        };
+        return (Kind::ConnectFailed, Outcome::NotRun, seen);
+    }
+    match body.failure() {
+        Some(body::Failure::TooLarge) => {
+            (Kind::TooLarge, Outcome::Unknown, health::Outcome::Neutral)
+        }
+        Some(body::Failure::Caller) => {
+            (Kind::BadRequest, Outcome::Unknown, health::Outcome::Neutral)
+        }
+        None => (Kind::BrokenAnswer, Outcome::Unknown, health::Outcome::Failed),
+    }
+}
+
+/// The ending of an attempt that is stuck.
+pub fn stalled(stall: watch::Stall, state: &link::State, watch: watch::Watch) -> Ending {
+    use problem::{Kind, Outcome};
+
+    let outcome = if state.begun.get() {
+        Outcome::Unknown
+    } else {
+        Outcome::NotRun
+    };
+    let (kind, seen) = match stall {
+        watch::Stall::Caller => (Kind::BadRequest, health::Outcome::Neutral),
+        watch::Stall::Upstream => (Kind::UpstreamSilent, health::Outcome::Failed),
+        watch::Stall::Limit if watch.is_slow() => (Kind::UpstreamSilent, health::Outcome::Failed),
+        watch::Stall::Limit => (Kind::Deadline, health::Outcome::Neutral),
+    };
+    watch.settle(seen, false);
+    failed(kind, outcome)
+}
+
+/// Evidence that an answer with `status` is.
+pub fn evidence(status: StatusCode) -> health::Outcome {
+    match status.as_u16() {
+        500.. => health::Outcome::Failed,
+        400..=499 => health::Outcome::Neutral,
+        _ => health::Outcome::Good,
+    }
+}
--- /dev/null
+++ b/crates/dotterelhinge/src/ledger.rs
@@ -0,0 +1,318 @@
+//! The grants that this daemon holds, and the reports to their coordinators.
+//!
+//! Reports are batched: at most one is on its way to each coordinator, and
+//! what comes up meanwhile goes with the next one.
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use actix::prelude::*;
+use dotterelhinge_policy::health;
+
+use crate::{context, coordinator, peer, wire};
+
+/// Period of the renewals of held grants.
+const RENEWAL: Duration = Duration::from_secs(1);
+
+/// Longest time for a report; entries of a report that failed are sent again
+/// with the next one until their grants lapse at the coordinator.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Entries kept for a coordinator that can't be reached; older ones are
+/// dropped, since the coordinator releases grants of a silent holder anyway.
+const BACKLOG: usize = 4096;
+
+/// Bit that marks a grant number given by the holder and not by a coordinator.
+const INHERITED: u64 = 1 << 63;
+
+/// A granted slot in use by an attempt.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// Host of the coordinator.
+    pub coordinator: Arc<str>,
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Name of the class.
+    pub class: Arc<str>,
+    /// Customer of the request.
+    pub customer: Arc<str>,
+    /// Name of the upstream.
+    pub upstream: Arc<str>,
+    /// Term of the grant.
+    pub term: u64,
+    /// Number of the grant.
+    pub grant: u64,
+}
+
+/// Notes a grant that an attempt uses from now on.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Hold {
+    /// Number of the attempt, unique in this process.
+    pub attempt: u64,
+    /// The grant.
+    pub held: Held,
+}
+
+/// An attempt is slow.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Overdue {
+    /// Number of the attempt.
+    pub attempt: u64,
+    /// Time since its first byte.
+    pub elapsed: Duration,
+}
+
+/// An attempt ended.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Settle {
+    /// Number of the attempt.
+    pub attempt: u64,
+    /// How it ended.
+    pub outcome: health::Outcome,
+    /// Time from its first byte.
+    pub elapsed: Duration,
+    /// Whether the upstream said that it is leaving.
+    pub draining: bool,
+}
+
+/// Grants in use, and what their coordinators have yet to hear.
+pub struct Actor {
+    context: Arc<context::Context>,
+    local: Addr<coordinator::Actor>,
+    client: Option<peer::Client>,
+    held: HashMap<u64, Held>,
+    queues: HashMap<Arc<str>, Vec<wire::Entry>>,
+    busy: HashSet<Arc<str>>,
+    next_inherited: u64,
+}
+
+impl Actor {
+    /// An empty ledger; `local` coordinates the services of this daemon.
+    pub fn new(context: Arc<context::Context>, local: Addr<coordinator::Actor>) -> Self {
+        // Holders number inherited grants themselves, so the numbers of two
+        // hosts must differ: 31 bits of the host's hash, then a counter.
+        let salt = dotterelhinge_policy::rendezvous::weight("grant", &context.settings.host);
+        Self {
+            context,
+            local,
+            client: None,
+            held: HashMap::new(),
+            queues: HashMap::new(),
+            busy: HashSet::new(),
+            next_inherited: INHERITED | ((salt & 0x7fff_ffff) << 32),
+        }
+    }
+
+    fn queue(&mut self, coordinator: &Arc<str>, entry: wire::Entry) {
+        let queue = self.queues.entry(Arc::clone(coordinator)).or_default();
+        if queue.len() >= BACKLOG {
+            queue.drain(..BACKLOG / 2);
+        }
+        queue.push(entry);
+    }
+
+    fn address(&self, host: &str) -> Option<SocketAddr> {
+        let members = self.context.members.load();
+        let member = members.members().iter().find(|m| &*m.host == host)?;
+        Some(member.address)
+    }
+
+    fn flush(&mut self, ctx: &mut Context<Self>, coordinator: &Arc<str>) {
+        if self.busy.contains(coordinator) {
+            return;
+        }
+        let Some(entries) = self.queues.remove(coordinator).filter(|q| !q.is_empty()) else {
+            return;
+        };
+        let report = wire::Report {
+            host: Arc::clone(&self.context.settings.host),
+            entries,
+        };
+        self.busy.insert(Arc::clone(coordinator));
+        let name = Arc::clone(coordinator);
+        if **coordinator == *self.context.settings.host {
+            let sent = self.local.send(coordinator::Report(report));
+            ctx.spawn(
+                sent.into_actor(self)
+                    .map(move |receipt, actor, ctx| actor.delivered(ctx, &name, receipt.ok())),
+            );
+            return;
+        }
+        let (Some(client), Some(address)) = (self.client.clone(), self.address(coordinator)) else {
+            // A coordinator that left the member list has no use for reports.
+            self.busy.remove(coordinator);
+            return;
+        };
+        let sent = async move {
+            client
+                .post::<_, wire::Receipt>(address, "/peer/v1/report", &report, REPORT_TIMEOUT)
+                .await
+                .map_err(|error| (error, report.entries))
+        };
+        ctx.spawn(sent.into_actor(self).map(move |sent, actor, ctx| match sent {
+            Ok(receipt) => actor.delivered(ctx, &name, Some(receipt)),
+            Err((error, entries)) => {
+                log::debug!(event = "report_failed", coordinator = &*name, error = format!("{error:?}"); "report failed");
+                actor.busy.remove(&name);
+                let later = actor.queues.remove(&name).unwrap_or_default();
+                // Settling twice is harmless: the second one finds no grant.
+                let mut queue = entries;
+                queue.retain(|entry| !matches!(entry, wire::Entry::Renew { .. }));
+                queue.extend(later);
+                queue.truncate(BACKLOG);
+                actor.queues.insert(name, queue);
+            }
+        }));
+    }
+
+    fn delivered(
+        &mut self,
+        ctx: &mut Context<Self>,
+        coordinator: &Arc<str>,
+        receipt: Option<wire::Receipt>,
+    ) {
+        self.busy.remove(coordinator);
+        for standing in receipt.unwrap_or_default().standings {
+            self.context
+                .note_standing(standing.service, standing.term, standing.view);
+        }
+        self.flush(ctx, coordinator);
+    }
+
+    /// Moves grants to the coordinator that the member list names now.
+    fn hand_over(&mut self) {
+        let members = self.context.members.load_full();
+        let mut moved = Vec::new();
+        for (attempt, held) in &self.held {
+            if let Some(member) = members.coordinator(&held.service)
+                && member.host != held.coordinator
+            {
+                moved.push((*attempt, Arc::clone(&member.host)));
+            }
+        }
+        let mut told = HashSet::new();
+        for (attempt, coordinator) in moved {
+            self.next_inherited += 1;
+            let grant = self.next_inherited;
+            let Some(held) = self.held.get_mut(&attempt) else {
+                continue;
+            };
+            held.coordinator = Arc::clone(&coordinator);
+            held.term = 0;
+            held.grant = grant;
+            let held = held.clone();
+            if told.insert(Arc::clone(&held.service))
+                && let Some(standing) = self.context.standing(&held.service)
+            {
+                let entry = wire::Entry::Adopt {
+                    service: Arc::clone(&held.service),
+                    term: standing.term,
+                    view: standing.view,
+                };
+                self.queue(&coordinator, entry);
+            }
+            let entry = wire::Entry::Inherit {
+                service: held.service,
+                upstream: held.upstream,
+                class: held.class,
+                customer: held.customer,
+                grant,
+            };
+            self.queue(&coordinator, entry);
+        }
+    }
+
+    fn renew(&mut self, ctx: &mut Context<Self>) {
+        self.hand_over();
+        let mut grants: HashMap<(Arc<str>, Arc<str>, u64), Vec<u64>> = HashMap::new();
+        for held in self.held.values() {
+            grants
+                .entry((
+                    Arc::clone(&held.coordinator),
+                    Arc::clone(&held.service),
+                    held.term,
+                ))
+                .or_default()
+                .push(held.grant);
+        }
+        for ((coordinator, service, term), grants) in grants {
+            let entry = wire::Entry::Renew {
+                service,
+                term,
+                grants,
+            };
+            self.queue(&coordinator, entry);
+        }
+        let coordinators: Vec<_> = self.queues.keys().cloned().collect();
+        for coordinator in coordinators {
+            self.flush(ctx, &coordinator);
+        }
+    }
+}
+
+impl actix::Actor for Actor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(1024);
+        self.client = Some(peer::Client::new(Arc::clone(&self.context)));
+        ctx.run_interval(RENEWAL, |actor, ctx| actor.renew(ctx));
+    }
+}
+
+impl Handler<Hold> for Actor {
+    type Result = ();
+
+    fn handle(&mut self, hold: Hold, _: &mut Self::Context) {
+        self.held.insert(hold.attempt, hold.held);
+    }
+}
+
+impl Handler<Overdue> for Actor {
+    type Result = ();
+
+    fn handle(&mut self, overdue: Overdue, ctx: &mut Self::Context) {
+        let Some(held) = self.held.get(&overdue.attempt).cloned() else {
+            return;
+        };
+        self.queue(
+            &held.coordinator,
+            wire::Entry::Overdue {
+                service: held.service,
+                term: held.term,
+                grant: held.grant,
+                elapsed_us: overdue.elapsed.as_micros() as u64,
+            },
+        );
+        self.flush(ctx, &held.coordinator);
+    }
+}
+
+impl Handler<Settle> for Actor {
+    type Result = ();
+
+    fn handle(&mut self, settle: Settle, ctx: &mut Self::Context) {
+        let Some(held) = self.held.remove(&settle.attempt) else {
+            return;
+        };
+        self.queue(
+            &held.coordinator,
+            wire::Entry::Settle {
+                service: held.service,
+                term: held.term,
+                grant: held.grant,
+                outcome: settle.outcome,
+                elapsed_us: settle.elapsed.as_micros() as u64,
+                draining: settle.draining,
+            },
+        );
+        self.flush(ctx, &held.coordinator);
+    }
+}
--- /dev/null
+++ b/crates/dotterelhinge/src/members.rs
@@ -0,0 +1,65 @@
+//! Daemons of the fleet, as one of them sees it.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, RwLock},
+};
+
+use dotterelhinge_policy::rendezvous;
+
+/// One daemon.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Member {
+    /// Host the daemon runs on.
+    pub host: Arc<str>,
+    /// Address of its peer port.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub availability_zone: Arc<str>,
+    /// Region of that availability zone.
+    pub region: Arc<str>,
+}
+
+/// The daemons that may take duties: alive and not leaving. Sorted by host.
+#[derive(Debug, Default)]
+pub struct List {
+    members: Vec<Member>,
+    // Ranking 3,800 members for each request would cost about 20 us, so the
+    // result is kept until the list changes.
+    coordinators: RwLock<HashMap<Arc<str>, usize>>,
+}
+
+impl List {
+    /// A list of `members`.
+    pub fn new(mut members: Vec<Member>) -> Self {
+        members.sort_by(|left, right| left.host.cmp(&right.host));
+        Self {
+            members,
+            coordinators: RwLock::default(),
+        }
+    }
+
+    /// All members.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// The member that coordinates `service`.
+    pub fn coordinator(&self, service: &Arc<str>) -> Option<&Member> {
+        let known = {
+            let coordinators = self.coordinators.read().unwrap_or_else(|p| p.into_inner());
+            coordinators.get(service).copied()
+        };
+        if let Some(index) = known {
+            return self.members.get(index);
+        }
+        let owner = rendezvous::owner(service, self.members.iter().map(|m| &*m.host))?;
+        let index = self.members.iter().position(|m| &*m.host == owner)?;
+        self.coordinators
+            .write()
+            .unwrap_or_else(|p| p.into_inner())
+            .insert(Arc::clone(service), index);
+        self.members.get(index)
+    }
+}
--- /dev/null
+++ b/crates/dotterelhinge/src/metrics.rs
@@ -0,0 +1,138 @@
+//! Counters, gauges and latency histograms of one daemon.
+//!
+//! Histograms are kept for each class and for each of the customers seen most
+//! recently; both are readable on the admin port. Counters also go to a
+//! StatsD address if one is set.
+
+use std::{
+    collections::HashMap,
+    net::{SocketAddr, UdpSocket},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use cadence::prelude::*;
+use hdrhistogram::Histogram;
+
+/// Customers with a histogram of their own; the rest share one under the name
+/// `(other)`, so that memory stays bounded with 120,000 customers.
+const CUSTOMERS: usize = 256;
+
+/// Longest recorded latency, in microseconds: ten minutes.
+const LONGEST_US: u64 = 600_000_000;
+
+/// Counters of control traffic and requests.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Requests taken in.
+    pub requests: AtomicU64,
+    /// Attempts that were handed to an upstream.
+    pub attempts: AtomicU64,
+    /// Attempts placed without the coordinator.
+    pub fallbacks: AtomicU64,
+    /// Bytes of control message bodies and heads sent to other daemons.
+    pub control_sent: AtomicU64,
+    /// Bytes of control message bodies and heads received from other daemons.
+    pub control_received: AtomicU64,
+}
+
+/// Metrics of one daemon.
+pub struct Registry {
+    /// Plain counters.
+    pub counters: Counters,
+    classes: std::sync::Mutex<HashMap<Arc<str>, Histogram<u64>>>,
+    customers: std::sync::Mutex<HashMap<Arc<str>, Histogram<u64>>>,
+    statsd: Option<cadence::StatsdClient>,
+}
+
+impl Registry {
+    /// Metrics that are also sent to `sink`, if there is one.
+    pub fn new(host: &str, sink: Option<SocketAddr>) -> std::io::Result<Self> {
+        let statsd = match sink {
+            None => None,
+            Some(address) => {
+                let socket = UdpSocket::bind(("127.0.0.1", 0)).or_else(|_| UdpSocket::bind("0.0.0.0:0"))?;
+                socket.set_nonblocking(true)?;
+                let udp = cadence::BufferedUdpMetricSink::from(address, socket)
+                    .map_err(std::io::Error::other)?;
+                let queued = cadence::QueuingMetricSink::with_capacity(udp, 4096);
+                Some(
+                    cadence::StatsdClient::builder("dotterelhinge", queued)
+                        .with_tag("host", host)
+                        .with_error_handler(|_| {})
+                        .build(),
+                )
+            }
+        };
+        Ok(Self {
+            counters: Counters::default(),
+            classes: Default::default(),
+            customers: Default::default(),
+            statsd,
+        })
+    }
+
+    /// Adds `n` to a counter.
+    pub fn add(counter: &AtomicU64, n: u64) {
+        counter.fetch_add(n, Ordering::Relaxed);
+    }
+
+    /// Records one finished request.
+    pub fn record(&self, class: &Arc<str>, customer: &Arc<str>, result: &str, taken: Duration) {
+        let us = (taken.as_micros() as u64).clamp(1, LONGEST_US);
+        record_in(&self.classes, class, usize::MAX, us);
+        record_in(&self.customers, customer, CUSTOMERS, us);
+        if let Some(statsd) = &self.statsd {
+            let _ = statsd
+                .time_with_tags("request", taken)
+                .with_tag("class", class)
+                .with_tag("result", result)
+                .try_send();
+        }
+    }
+
+    /// Counts an event under a name.
+    pub fn event(&self, name: &str) {
+        if let Some(statsd) = &self.statsd {
+            let _ = statsd.count(name, 1);
+        }
+    }
+
+    /// Copies of the histograms by class and by customer, in microseconds.
+    pub fn histograms(&self) -> [Vec<(Arc<str>, Histogram<u64>)>; 2] {
+        [&self.classes, &self.customers].map(|map| {
+            let map = map.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+            let mut list: Vec<_> = map
+                .iter()
+                .map(|(name, histogram)| (Arc::clone(name), histogram.clone()))
+                .collect();
+            list.sort_by(|left, right| left.0.cmp(&right.0));
+            list
+        })
+    }
+}
+
+fn record_in(
+    map: &std::sync::Mutex<HashMap<Arc<str>, Histogram<u64>>>,
+    name: &Arc<str>,
+    limit: usize,
+    us: u64,
+) {
+    let mut map = map.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let name = if map.len() >= limit && !map.contains_key(name) {
+        Arc::from("(other)")
+    } else {
+        Arc::clone(name)
+    };
+    map.entry(name)
+        .or_insert_with(|| {
+            let mut histogram =
+                Histogram::new_with_bounds(1, 1000, 2).expect("constant bounds are valid");
+            histogram.auto(true);
+            histogram
+        })
+        .saturating_record(us);
+}
--- /dev/null
+++ b/crates/dotterelhinge/src/peer.rs
@@ -0,0 +1,185 @@
+//! Client and server of the messages between daemons.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use actix::Addr;
+use actix_web::{HttpResponse, web};
+use error_stack::{Report, ResultExt};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{context, coordinator, metrics, wire};
+
+/// Largest accepted message: a whole text at the target size with room to
+/// spare.
+const LARGEST_BYTES: usize = 64 << 20;
+
+/// Bytes of a request or answer head besides path and address.
+const HEAD_BYTES: u64 = 96;
+
+/// Why a message failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// No connection could be made, so nothing was delivered.
+    #[error("the peer can't be reached")]
+    Unreachable,
+    /// No answer in time; the message may have been delivered.
+    #[error("the peer did not answer in time")]
+    Silent,
+    /// The answer can't be understood.
+    #[error("the peer's answer is not valid")]
+    Invalid,
+}
+
+/// Sends messages to other daemons from one thread.
+#[derive(Clone)]
+pub struct Client {
+    http: awc::Client,
+    context: Arc<context::Context>,
+}
+
+impl Client {
+    /// A client with connections of its own.
+    pub fn new(context: Arc<context::Context>) -> Self {
+        let connector = awc::Connector::new()
+            .limit(0)
+            .timeout(Duration::from_millis(500))
+            .conn_keep_alive(Duration::from_secs(15));
+        Self {
+            http: awc::Client::builder()
+                .connector(connector)
+                .disable_redirects()
+                .disable_timeout()
+                .no_default_headers()
+                .finish(),
+            context,
+        }
+    }
+
+    /// Sends `message` and waits for the answer.
+    pub async fn post<M: Serialize, A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        message: &M,
+        limit: Duration,
+    ) -> Result<A, Report<Error>> {
+        let body = rmp_serde::to_vec(message).change_context(Error::Invalid)?;
+        let counters = &self.context.metrics.counters;
+        metrics::Registry::add(
+            &counters.control_sent,
+            body.len() as u64 + HEAD_BYTES + path.len() as u64,
+        );
+        let exchange = async {
+            let mut answer = self
+                .http
+                .post(format!("http://{address}{path}"))
+                .content_type(wire::CONTENT_TYPE)
+                .send_body(body)
+                .await
+                .map_err(|error| {
+                    let kind = match &error {
+                        awc::error::SendRequestError::Connect(
+                            awc::error::ConnectError::Disconnected,
+                        ) => Error::Silent,
+                        awc::error::SendRequestError::Connect(_) => Error::Unreachable,
+                        _ => Error::Silent,
+                    };
+                    Report::new(kind).attach(error.to_string())
+                })?;
+            if !answer.status().is_success() {
+                return Err(Report::new(Error::Invalid).attach(answer.status().to_string()));
+            }
+            answer
+                .body()
+                .limit(LARGEST_BYTES)
+                .await
+                .change_context(Error::Silent)
+        };
+        let bytes = tokio::time::timeout(limit, exchange)
+            .await
+            .map_err(|_| Report::new(Error::Silent))??;
+        metrics::Registry::add(&counters.control_received, bytes.len() as u64 + HEAD_BYTES);
+        rmp_serde::from_slice(&bytes).change_context(Error::Invalid)
+    }
+}
+
+fn decode<M: DeserializeOwned>(
+    context: &context::Context,
+    body: &[u8],
+) -> Result<M, actix_web::Error> {
+    metrics::Registry::add(
+        &context.metrics.counters.control_received,
+        body.len() as u64 + HEAD_BYTES,
+    );
+    rmp_serde::from_slice(body).map_err(actix_web::error::ErrorBadRequest)
+}
+
+fn encode<A: Serialize>(context: &context::Context, answer: &A) -> HttpResponse {
+    match rmp_serde::to_vec(answer) {
+        Ok(body) => {
+            metrics::Registry::add(
+                &context.metrics.counters.control_sent,
+                body.len() as u64 + HEAD_BYTES,
+            );
+            HttpResponse::Ok().content_type(wire::CONTENT_TYPE).body(body)
+        }
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
+
+/// State of the peer server.
+#[derive(Clone)]
+pub struct Server {
+    /// Shared state of the daemon.
+    pub context: Arc<context::Context>,
+    /// The coordinators on this daemon.
+    pub coordinator: Addr<coordinator::Actor>,
+}
+
+async fn acquire(
+    server: web::Data<Server>,
+    body: web::Bytes,
+) -> Result<HttpResponse, actix_web::Error> {
+    let message: wire::Acquire = decode(&server.context, &body)?;
+    let answer = server
+        .coordinator
+        .send(coordinator::Acquire(message))
+        .await
+        .unwrap_or(wire::Answer::NotCoordinator);
+    Ok(encode(&server.context, &answer))
+}
+
+async fn wait(
+    server: web::Data<Server>,
+    body: web::Bytes,
+) -> Result<HttpResponse, actix_web::Error> {
+    let message: wire::Await = decode(&server.context, &body)?;
+    let answer = server
+        .coordinator
+        .send(coordinator::Await(message))
+        .await
+        .unwrap_or(wire::Answer::NotCoordinator);
+    Ok(encode(&server.context, &answer))
+}
+
+async fn report(
+    server: web::Data<Server>,
+    body: web::Bytes,
+) -> Result<HttpResponse, actix_web::Error> {
+    let message: wire::Report = decode(&server.context, &body)?;
+    let receipt = server
+        .coordinator
+        .send(coordinator::Report(message))
+        .await
+        .unwrap_or_default();
+    Ok(encode(&server.context, &receipt))
+}
+
+/// Adds the paths of the peer port.
+pub fn configure(config: &mut web::ServiceConfig) {
+    config
+        .app_data(web::PayloadConfig::new(LARGEST_BYTES))
+        .route("/peer/v1/acquire", web::post().to(acquire))
+        .route("/peer/v1/await", web::post().to(wait))
+        .route("/peer/v1/report", web::post().to(report));
+}
--- /dev/null
+++ b/crates/dotterelhinge/src/wire.rs
@@ -0,0 +1,169 @@
+//! Messages between daemons: HTTP POST with MessagePack bodies on the peer
+//! port.
+//!
+//! | path | request | answer |
+//! |---|---|---|
+//! | `/peer/v1/acquire` | [`Acquire`] | [`Answer`] |
+//! | `/peer/v1/await` | [`Await`] | [`Answer`] |
+//! | `/peer/v1/report` | [`Report`] | [`Receipt`] |
+//!
+//! Durations are whole milliseconds unless a name says otherwise.
+
+use std::sync::Arc;
+
+use dotterelhinge_policy::{health, placement};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+/// Content type of every message.
+pub const CONTENT_TYPE: &str = "application/msgpack";
+
+/// Asks the coordinator of a service for a slot.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Acquire {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Name of the request class.
+    pub class: Arc<str>,
+    /// Customer the request is accounted to.
+    pub customer: Arc<str>,
+    /// Host that asks.
+    pub host: Arc<str>,
+    /// Availability zone of that host.
+    pub availability_zone: Arc<str>,
+    /// Longest wait.
+    pub wait_ms: u32,
+    /// Number of the attempt, from 1.
+    pub attempt: u32,
+    /// Names of upstreams that must not be chosen.
+    pub excluded: SmallVec<[Arc<str>; 4]>,
+}
+
+/// Goes on waiting for a slot after [`Answer::Queued`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Await {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Ticket of the waiting request.
+    pub ticket: u64,
+}
+
+/// A slot handed out.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Grant {
+    /// Term of the coordinator.
+    pub term: u64,
+    /// Number of the grant within the term.
+    pub grant: u64,
+    /// Name of the upstream.
+    pub upstream: Arc<str>,
+    /// The attempt must start within this time.
+    pub start_within_ms: u32,
+    /// The attempt counts as slow after this time.
+    pub slow_after_ms: u32,
+}
+
+/// Answer to [`Acquire`] and [`Await`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Answer {
+    /// A slot.
+    Granted(Grant),
+    /// No slot yet; ask again with the ticket.
+    Queued {
+        /// Ticket of the waiting request.
+        ticket: u64,
+    },
+    /// No slot for this request.
+    Refused(placement::Refusal),
+    /// This daemon can't coordinate the service now.
+    NotCoordinator,
+}
+
+/// One thing that a holder of grants reports.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Entry {
+    /// An attempt ended.
+    Settle {
+        /// Name of the service.
+        service: Arc<str>,
+        /// Term of the grant.
+        term: u64,
+        /// Number of the grant.
+        grant: u64,
+        /// How the attempt ended.
+        outcome: health::Outcome,
+        /// Time from the first byte to the end, in microseconds.
+        elapsed_us: u64,
+        /// Whether the upstream said that it is leaving.
+        draining: bool,
+    },
+    /// An attempt runs longer than its `slow_after_ms`.
+    Overdue {
+        /// Name of the service.
+        service: Arc<str>,
+        /// Term of the grant.
+        term: u64,
+        /// Number of the grant.
+        grant: u64,
+        /// Time since the first byte, in microseconds.
+        elapsed_us: u64,
+    },
+    /// A slot granted by an earlier coordinator is still in use.
+    Inherit {
+        /// Name of the service.
+        service: Arc<str>,
+        /// Name of the upstream.
+        upstream: Arc<str>,
+        /// Name of the class.
+        class: Arc<str>,
+        /// Customer of the request.
+        customer: Arc<str>,
+        /// Number under which it will be settled in the new term.
+        grant: u64,
+    },
+    /// The last view of ejections from an earlier coordinator.
+    Adopt {
+        /// Name of the service.
+        service: Arc<str>,
+        /// Term of that coordinator.
+        term: u64,
+        /// The view.
+        view: health::View,
+    },
+    /// All grants that the host holds for a service.
+    Renew {
+        /// Name of the service.
+        service: Arc<str>,
+        /// Term of the grants.
+        term: u64,
+        /// The grants.
+        grants: Vec<u64>,
+    },
+}
+
+/// What a holder of grants tells a coordinator.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Report {
+    /// The holder.
+    pub host: Arc<str>,
+    /// The entries, in order.
+    pub entries: Vec<Entry>,
+}
+
+/// State of one service at its coordinator.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Standing {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Current term.
+    pub term: u64,
+    /// Ejected and leaving upstreams.
+    pub view: health::View,
+}
+
+/// Answer to [`Report`]: the state of each service that it renewed.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Receipt {
+    /// One entry for each service.
+    pub standings: Vec<Standing>,
+}
