Add the platform client

Cause: daemons and the command line need the platform's table, object store and host list, and edits must have a provable outcome after a lost answer. Ruled out: repeating calls inside the HTTP client, since only the caller can tell whether a lost write took effect.

--- a/crates/dotterelhinge/src/lib.rs
+++ b/crates/dotterelhinge/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! The daemon and command line of the proxy fleet.
+
+pub mod platform;
