--- /dev/null
+++ b/crates/standin/src/platform/limit.rs
@@ -0,0 +1,37 @@
+//! Rate limit over the last second.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// At most `per_second` events in any second.
+#[derive(Debug)]
+pub struct Limit {
+    per_second: usize,
+    admitted: VecDeque<Instant>,
+}
+
+impl Limit {
+    /// A limit that has admitted nothing.
+    pub fn new(per_second: usize) -> Self {
+        Limit {
+            per_second,
+            admitted: VecDeque::new(),
+        }
+    }
+
+    /// Whether an event at `now` is within the limit; it is counted if so.
+    pub fn admit(&mut self, now: Instant) -> bool {
+        while self
+            .admitted
+            .front()
+            .is_some_and(|at| now.saturating_duration_since(*at) >= Duration::from_secs(1))
+        {
+            self.admitted.pop_front();
+        }
+        let admitted = self.admitted.len() < self.per_second;
+        if admitted {
+            self.admitted.push_back(now);
+        }
+        admitted
+    }
+}
