Log changes of upstream health in a module of their own

Cause: health gained changes for whole upstreams. Change: events.rs writes every change with stable field names. Measured: compiles; not run yet.

--- a/crates/dotterelhinge/src/coordinator.rs
+++ b/crates/dotterelhinge/src/coordinator.rs
@@ -11,7 +11,7 @@
 use dotterelhinge_policy::{health, placement};
 use tokio::sync::oneshot;
 
-use crate::{context, text, wire};
+use crate::{context, events, text, wire};
 
 /// An acquire is answered within this time, if only with `Queued`, so that a
 /// caller can tell a full service from a paused coordinator.
@@ -212,7 +212,7 @@
                     self.answer(now, ticket, wire::Answer::Refused(reason));
                 }
                 placement::Action::Log(change) => {
-                    log_change(contract, &in_force.snapshot.classes, &change);
+                    events::health(contract, &in_force.snapshot.classes, &change);
                 }
             }
         }
@@ -234,50 +234,6 @@
     }
 }
 
-fn log_change(
-    service: &dotterelhinge_policy::contract::Service,
-    classes: &[dotterelhinge_policy::contract::Class],
-    change: &health::Change,
-) {
-    let upstream = |index: usize| service.upstreams[index].name.to_string();
-    let class = |index: usize| classes[index].name.to_string();
-    let name = service.name.to_string();
-    match change {
-        health::Change::Ejected {
-            upstream: u,
-            class: c,
-            evidence,
-            healthy,
-        } => {
-            log::warn!(event = "ejected", service = name, upstream = upstream(*u), class = class(*c),
-                statistic = evidence.0, threshold = evidence.1, healthy = healthy, floor = service.floor;
-                "upstream ejected for a class");
-        }
-        health::Change::FloorHeld {
-            upstream: u,
-            class: c,
-        } => {
-            log::warn!(event = "floor_held", service = name, upstream = upstream(*u), class = class(*c),
-                floor = service.floor; "ejection prevented by the floor");
-        }
-        health::Change::Trial {
-            upstream: u,
-            class: c,
-        } => {
-            log::info!(event = "trial", service = name, upstream = upstream(*u), class = class(*c); "trial requests begin");
-        }
-        health::Change::Readmitted {
-            upstream: u,
-            class: c,
-        } => {
-            log::info!(event = "readmitted", service = name, upstream = upstream(*u), class = class(*c); "upstream serves a class again");
-        }
-        health::Change::Leaving { upstream: u } => {
-            log::info!(event = "upstream_leaving", service = name, upstream = upstream(*u); "upstream receives no new requests");
-        }
-    }
-}
-
 impl actix::Actor for Actor {
     type Context = Context<Self>;
 
--- a/crates/dotterelhinge/src/entry/mod.rs
+++ b/crates/dotterelhinge/src/entry/mod.rs
@@ -25,8 +25,6 @@
 
 use crate::{context, coordinator, ledger, metrics, peer};
 
-pub use problem::{OUTCOME_HEADER, REQUEST_ID_HEADER};
-
 /// Customer of requests without a customer header.
 const NO_CUSTOMER: &str = "(none)";
 
