policy: place requests by one coordinator, with fallback and retries

Cause: the coordinator was a placeholder that sorted its whole queue on every event and knew no shares, budget, early refusal or inherited grants; fallback, budget and retry rules were missing. Ruled out: one ordered queue for all requests, since a request that excludes the only free upstream would make each event a pass over the queue. Change: free slots are indexed by class and zone, the queue by class, excluded upstreams and customer. Retries are decided by a value that cannot be copied, so that a non-repeatable request has at most one begun attempt.

--- /dev/null
+++ b/crates/policy/src/baseline.rs
@@ -0,0 +1,140 @@
+//! The policy that measurements compare with: each daemon alone uses two
+//! random choices and ejects an upstream after consecutive errors.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand::Rng;
+use smallvec::SmallVec;
+
+use crate::{contract, fallback, health};
+
+/// Limits of the baseline.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Consecutive failures that eject an upstream.
+    pub failures: u32,
+    /// Time of an ejection.
+    pub ejection: Duration,
+    /// Percentage of the upstreams that may be ejected at the same time.
+    pub ejected_percent: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            failures: 5,
+            ejection: Duration::from_secs(30),
+            ejected_percent: 50,
+        }
+    }
+}
+
+#[derive(Clone, Default)]
+struct Upstream {
+    in_use: u32,
+    failures: u32,
+    ejected_until: Option<Instant>,
+}
+
+/// What one daemon knows about the upstreams of a service.
+pub struct Baseline {
+    settings: Settings,
+    service: Arc<contract::Service>,
+    upstreams: Vec<Upstream>,
+}
+
+impl Baseline {
+    /// Starts with no slot in use and nothing ejected.
+    pub fn new(settings: Settings, service: Arc<contract::Service>) -> Self {
+        Self {
+            upstreams: vec![Upstream::default(); service.upstreams.len()],
+            settings,
+            service,
+        }
+    }
+
+    /// Takes a new text into force; what is known stays by upstream name.
+    pub fn configure(&mut self, service: Arc<contract::Service>) {
+        let old = &self.service.upstreams;
+        self.upstreams = service
+            .upstreams
+            .iter()
+            .map(|upstream| {
+                let index = old.iter().position(|o| o.name == upstream.name);
+                index
+                    .map(|index| self.upstreams[index].clone())
+                    .unwrap_or_default()
+            })
+            .collect();
+        self.service = service;
+    }
+
+    /// Whether an upstream is ejected.
+    pub fn ejected(&self, now: Instant, upstream: usize) -> bool {
+        let until = self.upstreams[upstream].ejected_until;
+        until.is_some_and(|until| now < until)
+    }
+
+    /// Slots that this daemon uses, by upstream index.
+    pub fn in_use(&self) -> Vec<u32> {
+        self.upstreams.iter().map(|u| u.in_use).collect()
+    }
+
+    /// Chooses an upstream and counts a slot of it as used. Returns `None` if
+    /// every upstream is leaving or in `excluded`.
+    pub fn pick(
+        &mut self,
+        now: Instant,
+        excluded: &[Arc<str>],
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        let allowed: SmallVec<[usize; 64]> = self
+            .service
+            .upstreams
+            .iter()
+            .enumerate()
+            .filter(|(_, u)| !u.leaving && !excluded.contains(&u.name))
+            .map(|(index, _)| index)
+            .collect();
+        let kept: SmallVec<[usize; 64]> = allowed
+            .iter()
+            .copied()
+            .filter(|&index| !self.ejected(now, index))
+            .collect();
+        let in_use = self.in_use();
+        let chosen = fallback::two_choices(&kept, &in_use, rng)
+            .or_else(|| fallback::two_choices(&allowed, &in_use, rng))?;
+        self.upstreams[chosen].in_use += 1;
+        Some(chosen)
+    }
+
+    /// Takes the end of an attempt into account. Returns whether it ejected
+    /// the upstream.
+    pub fn settle(&mut self, now: Instant, upstream: usize, outcome: health::Outcome) -> bool {
+        let entry = &mut self.upstreams[upstream];
+        entry.in_use = entry.in_use.saturating_sub(1);
+        match outcome {
+            health::Outcome::Good => entry.failures = 0,
+            health::Outcome::Failed | health::Outcome::ConnectFailed | health::Outcome::Shed => {
+                entry.failures += 1
+            }
+            // The baseline knows no `slow_after`; a timeout reports `Failed`.
+            health::Outcome::Overdue | health::Outcome::Neutral => {}
+        }
+        let count = self.upstreams.len();
+        let ejected = (0..count).filter(|&i| self.ejected(now, i)).count();
+        if self.upstreams[upstream].failures < self.settings.failures
+            || self.ejected(now, upstream)
+            || (ejected + 1) * 100 > count * self.settings.ejected_percent
+        {
+            return false;
+        }
+        let entry = &mut self.upstreams[upstream];
+        entry.failures = 0;
+        entry.ejected_until = Some(now + self.settings.ejection);
+        true
+    }
+}
--- a/crates/policy/src/contract.rs
+++ b/crates/policy/src/contract.rs
@@ -1,7 +1,7 @@
 //! The terms that operators declare for services and request classes, in the
 //! form that the decisions use.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 /// What to do with a keyed request of a non-repeatable class while no lease on
 /// its key range can be proved.
@@ -65,6 +65,10 @@
     }
 }
 
+/// Shares of customers by name: the part of a service's slots that one customer
+/// may use while others wait. A customer without an entry has the share 1.0.
+pub type Customers = HashMap<Arc<str>, f64>;
+
 /// One backend server of a service.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Upstream {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,8 +26,12 @@
 module states.
 */
 
+pub mod baseline;
+pub mod budget;
 pub mod clock;
 pub mod contract;
+pub mod fallback;
 pub mod health;
 pub mod placement;
 pub mod rendezvous;
+pub mod retry;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -1,14 +1,36 @@
 //! The coordinator of one service: hands out the slots of its upstreams.
-
-use std::{
-    collections::HashMap,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+//!
+//! # Guarantees
+//!
+//! - The grants of one coordinator never use more slots of an upstream than its
+//!   health allows when they are handed out.
+//! - Every ticket is answered by exactly one [`Action::Grant`] or
+//!   [`Action::Refuse`], unless it is abandoned.
+//! - After every event, no waiting request could be given a free slot.
+//! - A slot is free again once its grant is settled, or its holder is gone,
+//!   silent or no longer lists it.
+//!
+//! # Costs
+//!
+//! With `n` waiting requests and upstreams, an acquire or a settle costs
+//! O(log n) for each requested class, and as much for each set of excluded
+//! upstreams that must be passed over in the queue. A tick, a change of health
+//! and a new configuration cost a pass over the upstreams and, if the number of
+//! open slots changes, over the waiting customers.
+
+mod coordinator;
+mod customer;
+mod grant;
+mod pool;
+mod queue;
+
+use std::{sync::Arc, time::Duration};
 
 use smallvec::SmallVec;
 
-use crate::{contract, health};
+use crate::health;
+
+pub use coordinator::Coordinator;
 
 /// Identifies a waiting request to the owner of the coordinator.
 pub type Ticket = u64;
@@ -19,17 +41,48 @@
 /// Limits of the coordinator.
 #[derive(Clone, Debug)]
 pub struct Settings {
+    /// Term of this coordinator. It is part of every grant's number, so that a
+    /// grant of another term is never mistaken for one of this.
+    pub term: u64,
+    /// Seed of the random choices.
+    pub seed: u64,
     /// A grant of a holder silent for this long is released.
     pub holder_silence: Duration,
     /// A grant must start within this time.
     pub start_within: Duration,
+    /// A grant of this age that its host does not list when it renews is
+    /// released. A younger one may still be on its way to the host.
+    pub unlisted_after: Duration,
+    /// An upstream with this suspicion is chosen only if no other has a free
+    /// slot. The default is the lowest threshold of ejection, ln 100.
+    pub avoid_suspicion: f64,
+    /// Share of the grants of repeatable classes that prefer the avoided
+    /// upstreams. Without any work an upstream could never clear itself.
+    pub explore: f64,
+    /// Requests that may wait; this bounds the memory.
+    pub queue: usize,
+    /// Requests of one customer that may wait.
+    pub customer_queue: usize,
+    /// Half-life of the service times that estimate the wait.
+    pub half_life: Duration,
+    /// Time between ticks while the health of an upstream is being restored.
+    pub health_tick: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            term: 1,
+            seed: 0,
             holder_silence: Duration::from_secs(5),
             start_within: Duration::from_secs(1),
+            unlisted_after: Duration::from_secs(1),
+            avoid_suspicion: 4.6,
+            explore: 1.0 / 16.0,
+            queue: 10_000,
+            customer_queue: 1_000,
+            half_life: Duration::from_secs(30),
+            health_tick: Duration::from_millis(100),
         }
     }
 }
@@ -60,11 +113,11 @@
 pub enum Refusal {
     /// The wait for a slot would exceed the limit.
     Overloaded,
-    /// The wait for a slot exceeded the limit.
+    /// The wait for a slot exceeded the limit, or the waiting host is gone.
     QueueTimeout,
-    /// The customer holds its whole share.
+    /// The customer's own queue is over its limit.
     CustomerLimit,
-    /// No upstream may take the class.
+    /// No upstream could take the request, however long it waited.
     NoUpstream,
     /// The retry budget is spent.
     Budget,
@@ -145,209 +198,3 @@
     /// Put a change into the event log.
     Log(health::Change),
 }
-
-struct Held {
-    upstream: usize,
-    class: usize,
-    host: Arc<str>,
-    renewed: Instant,
-}
-
-/// Slots, queue and health of one service.
-pub struct Coordinator {
-    settings: Settings,
-    service: Arc<contract::Service>,
-    classes: Arc<[contract::Class]>,
-    health: health::Health,
-    in_use: Vec<u32>,
-    held: HashMap<Id, Held>,
-    waiting: Vec<(Instant, Acquire)>,
-    next: Id,
-}
-
-impl Coordinator {
-    /// Starts a term with no slot in use.
-    pub fn new(
-        settings: Settings,
-        service: Arc<contract::Service>,
-        classes: Arc<[contract::Class]>,
-        adopted: &health::View,
-        now: Instant,
-    ) -> Self {
-        let health = health::Health::new(Arc::clone(&service), Arc::clone(&classes), adopted, now);
-        Self {
-            in_use: vec![0; service.upstreams.len()],
-            settings,
-            service,
-            classes,
-            health,
-            held: HashMap::new(),
-            waiting: Vec::new(),
-            next: 1,
-        }
-    }
-
-    /// Health of the upstreams.
-    pub fn health(&self) -> &health::Health {
-        &self.health
-    }
-
-    /// Slots in use by upstream index.
-    pub fn in_use(&self) -> &[u32] {
-        &self.in_use
-    }
-
-    /// Requests that wait for a slot.
-    pub fn queued(&self) -> usize {
-        self.waiting.len()
-    }
-
-    /// Takes a new text into force; grants in use stay accounted by name.
-    pub fn configure(
-        &mut self,
-        now: Instant,
-        service: Arc<contract::Service>,
-        classes: Arc<[contract::Class]>,
-    ) {
-        let view = self.health.view();
-        let index = |name: &Arc<str>| service.upstreams.iter().position(|u| u.name == *name);
-        let old = std::mem::replace(&mut self.service, Arc::clone(&service));
-        self.health = health::Health::new(Arc::clone(&service), Arc::clone(&classes), &view, now);
-        self.in_use = vec![0; service.upstreams.len()];
-        self.held.retain(|_, held| {
-            let Some(upstream) = index(&old.upstreams[held.upstream].name) else {
-                return false;
-            };
-            held.upstream = upstream;
-            true
-        });
-        for held in self.held.values() {
-            self.in_use[held.upstream] += 1;
-        }
-        self.classes = classes;
-    }
-
-    /// Takes one event at the time `now`.
-    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
-        let mut actions = Vec::new();
-        match event {
-            Event::Acquire(acquire) => self.waiting.push((now + acquire.wait, acquire)),
-            Event::Abandon(ticket) => self.waiting.retain(|(_, a)| a.ticket != ticket),
-            Event::Overdue { .. } => {}
-            Event::Settle {
-                grant,
-                outcome,
-                elapsed,
-            } => self.settle(now, grant, outcome, elapsed, &mut actions),
-            Event::Renew { host, grants } => {
-                for held in grants.iter().filter_map(|id| self.held.get(id)) {
-                    debug_assert_eq!(held.host, host);
-                }
-                for id in grants {
-                    if let Some(held) = self.held.get_mut(&id) {
-                        held.renewed = now;
-                    }
-                }
-            }
-            Event::Inherit { .. } => {}
-            Event::HostGone(host) => self.release(|held| held.host == host),
-            Event::Leaving(name) => {
-                if let Some(index) = self.service.upstreams.iter().position(|u| u.name == name) {
-                    actions.extend(self.health.mark_leaving(index).into_iter().map(Action::Log));
-                }
-            }
-            Event::Tick => {
-                let silence = self.settings.holder_silence;
-                self.release(|held| now.duration_since(held.renewed) >= silence);
-                actions.extend(self.health.tick(now).into_iter().map(Action::Log));
-            }
-        }
-        self.dispatch(now, &mut actions);
-        actions
-    }
-
-    fn release(&mut self, lost: impl Fn(&Held) -> bool) {
-        let in_use = &mut self.in_use;
-        self.held.retain(|_, held| {
-            let keep = !lost(held);
-            if !keep {
-                in_use[held.upstream] -= 1;
-            }
-            keep
-        });
-    }
-
-    fn settle(
-        &mut self,
-        now: Instant,
-        grant: Id,
-        outcome: health::Outcome,
-        elapsed: Duration,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(held) = self.held.remove(&grant) else {
-            return;
-        };
-        self.in_use[held.upstream] -= 1;
-        let changes = self.health.observe(
-            now,
-            &health::Observation {
-                upstream: held.upstream,
-                class: held.class,
-                host: held.host,
-                outcome,
-                elapsed,
-            },
-        );
-        actions.extend(changes.into_iter().map(Action::Log));
-    }
-
-    fn dispatch(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.sort_by_key(|(limit, a)| (self.classes[a.class].priority, *limit));
-        for (limit, acquire) in waiting {
-            if let Some(upstream) = self.choose(now, &acquire) {
-                let grant = self.next;
-                self.next += 1;
-                self.in_use[upstream] += 1;
-                actions.push(Action::Grant {
-                    ticket: acquire.ticket,
-                    grant,
-                    upstream,
-                    slow_after: self.health.slow_after(acquire.class),
-                });
-                self.held.insert(
-                    grant,
-                    Held {
-                        upstream,
-                        class: acquire.class,
-                        host: acquire.host,
-                        renewed: now,
-                    },
-                );
-            } else if now >= limit {
-                actions.push(Action::Refuse {
-                    ticket: acquire.ticket,
-                    reason: Refusal::QueueTimeout,
-                });
-            } else {
-                self.waiting.push((limit, acquire));
-            }
-        }
-    }
-
-    fn choose(&self, now: Instant, acquire: &Acquire) -> Option<usize> {
-        let upstreams = &self.service.upstreams;
-        (0..upstreams.len())
-            .filter(|&i| {
-                self.in_use[i] < self.health.slots(now, i, acquire.class)
-                    && !acquire.excluded.contains(&upstreams[i].name)
-            })
-            .min_by_key(|&i| {
-                (
-                    upstreams[i].availability_zone != acquire.availability_zone,
-                    self.in_use[i],
-                )
-            })
-    }
-}
