--- a/crates/policy/src/health/configuration.rs
+++ b/crates/policy/src/health/configuration.rs
@@ -41,6 +41,22 @@
         }
     }
 
+    /// Takes over the view of an earlier coordinator that was told late. It is
+    /// ignored after the start of the term, when own evidence counts.
+    pub fn inherit(&mut self, now: Instant, view: &View) -> Vec<Change> {
+        if now.duration_since(self.started) >= self.settings.term_grace {
+            return Vec::new();
+        }
+        self.adopt(view, now);
+        let leaving: Vec<usize> = (0..self.upstreams.len())
+            .filter(|&index| view.leaving.contains(&self.service.upstreams[index].name))
+            .collect();
+        leaving
+            .into_iter()
+            .flat_map(|index| self.mark_leaving(index))
+            .collect()
+    }
+
     /// Takes a new text into force within the term. Evidence and states stay
     /// with upstreams and classes of the same name. A new upstream starts cold,
     /// in a ramp, unless all are new.
--- a/crates/policy/src/health/event.rs
+++ b/crates/policy/src/health/event.rs
@@ -129,3 +129,20 @@
         upstream: usize,
     },
 }
+
+impl Change {
+    /// Index of the upstream that changed.
+    pub fn upstream(&self) -> usize {
+        match self {
+            Change::Ejected { upstream, .. }
+            | Change::FloorHeld { upstream, .. }
+            | Change::Trial { upstream, .. }
+            | Change::Readmitted { upstream, .. }
+            | Change::UpstreamEjected { upstream, .. }
+            | Change::UpstreamFloorHeld { upstream }
+            | Change::UpstreamTrial { upstream }
+            | Change::UpstreamReadmitted { upstream }
+            | Change::Leaving { upstream } => *upstream,
+        }
+    }
+}
