Add standin-backend with faults and a record of begun requests

Cause: detection, placement and at-most-once runs need backend servers whose faults are set by call and whose beginnings can be checked afterwards.

Ruled out: actix-web for the servers, since it does not send broken answers. Closing after an unread body without draining it, since the reset may destroy the 503 that proves the request was not run.

--- /dev/null
+++ b/crates/standin/src/backend/answer.rs
@@ -0,0 +1,115 @@
+//! Answers as bytes.
+
+use serde_json::json;
+
+use crate::http::head;
+
+/// Body of the given size that names the request, so that a crossed body shows.
+pub(crate) fn filler(id: &str, size: usize) -> Vec<u8> {
+    let pattern = format!("{id}\n");
+    pattern.bytes().cycle().take(size).collect()
+}
+
+/// An answer and how it is broken.
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<(&'static str, String)>,
+    pub(crate) body: Vec<u8>,
+    pub(crate) keep_alive: bool,
+    pub(crate) is_chunked: bool,
+    pub(crate) is_cut: bool,
+    pub(crate) is_draining: bool,
+    pub(crate) is_given_up: bool,
+    pub(crate) has_body: bool,
+}
+
+impl Answer {
+    pub(crate) fn new(status: u16, body: Vec<u8>) -> Self {
+        let checksum = format!("{:08x}", crc32fast::hash(&body));
+        Answer {
+            status,
+            headers: vec![("x-checksum", checksum)],
+            body,
+            keep_alive: false,
+            is_chunked: false,
+            is_cut: false,
+            is_draining: false,
+            is_given_up: false,
+            has_body: true,
+        }
+    }
+
+    pub(crate) fn error(status: u16, reason: &str) -> Self {
+        Self::new(status, json!({"error": reason}).to_string().into_bytes())
+    }
+
+    pub(crate) fn not_run(head: &head::Request) -> Self {
+        let mut answer = Self::error(503, "not run");
+        answer.headers.push(("x-not-run", "1".to_owned()));
+        answer.echo(head.headers.get("x-request-id"));
+        answer
+    }
+
+    pub(crate) fn echo(&mut self, id: Option<&str>) {
+        if let Some(id) = id {
+            self.headers.push(("x-request-id", id.to_owned()));
+        }
+    }
+
+    /// Bytes of the message, cut if need be.
+    pub(crate) fn encode(&self, server: &str) -> Vec<u8> {
+        let mut head = format!("HTTP/1.1 {} {}\r\n", self.status, reason(self.status));
+        head.push_str(&format!("x-server: {server}\r\n"));
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if self.is_draining {
+            head.push_str("x-draining: 1\r\n");
+        }
+        if !self.keep_alive {
+            head.push_str("connection: close\r\n");
+        }
+        if self.is_chunked {
+            head.push_str("transfer-encoding: chunked\r\n\r\n");
+        } else {
+            head.push_str(&format!("content-length: {}\r\n\r\n", self.body.len()));
+        }
+        let mut message = head.into_bytes();
+        let head_length = message.len();
+        if self.has_body {
+            if self.is_chunked {
+                for part in self.body.chunks(16 * 1024) {
+                    message.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
+                    message.extend_from_slice(part);
+                    message.extend_from_slice(b"\r\n");
+                }
+                message.extend_from_slice(b"0\r\n\r\n");
+            } else {
+                message.extend_from_slice(&self.body);
+            }
+        }
+        if self.is_cut {
+            let body_length = message.len() - head_length;
+            // Without a body the cut falls into the head.
+            let keep = if body_length > 1 {
+                head_length + body_length / 2
+            } else {
+                head_length / 2
+            };
+            message.truncate(keep);
+        }
+        message
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -33,6 +33,7 @@
 `POST /reset`.
 */
 
+pub mod backend;
 pub mod client;
 pub mod http;
 pub mod platform;
