Add standin-relay

Cause: partitions, also of one direction, must be set between real processes.

Change: a TCP relay whose directions are frozen or closed by POST /link. The answer comes once the listener has followed the change.

Ruled out: ending open connections when the state reads closed, since a close followed by an opening at once would be missed; closes are numbered instead.

--- /dev/null
+++ b/crates/standin/src/bin/standin-relay.rs
@@ -0,0 +1,62 @@
+//! TCP relay whose directions can be frozen or closed.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+use clap::{Arg, Command, value_parser};
+use dotterelhinge_standin::{program, relay};
+use serde_json::json;
+
+fn main() -> io::Result<()> {
+    let bound = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("ADDRESS")
+            .value_parser(value_parser!(SocketAddr))
+            .required(true)
+            .help(help)
+    };
+    let matches = Command::new("standin-relay")
+        .about("Relays TCP connections and freezes or closes directions")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(bound("listen", "Address to accept connections on"))
+        .arg(bound("control", "Address of the control calls"))
+        .arg(
+            Arg::new("to")
+                .long("to")
+                .value_name("ADDRESS")
+                .required(true)
+                .help("Address to connect to"),
+        )
+        .get_matches();
+    program::start_log();
+    let bind = |name: &str| {
+        let address = matches.get_one::<SocketAddr>(name).copied();
+        TcpListener::bind(address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0))))
+    };
+    let listener = bind("listen")?;
+    let control = bind("control")?;
+    let address = listener.local_addr()?;
+    let to = matches.get_one::<String>("to").cloned().unwrap_or_default();
+    let ready = json!({
+        "listening": address,
+        "control": control.local_addr()?,
+        "to": to,
+    });
+    actix_rt::System::new().block_on(async {
+        let relay = Arc::new(relay::Relay::new(address, to));
+        let control = relay::control(control, Arc::clone(&relay))?;
+        let handle = control.handle();
+        actix_rt::spawn(control);
+        actix_rt::spawn(async move {
+            if let Err(error) = relay.serve(listener).await {
+                log::error!("{error}");
+            }
+        });
+        program::announce(&ready)?;
+        program::terminated().await?;
+        handle.stop(false).await;
+        Ok(())
+    })
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -39,3 +39,4 @@
 pub mod platform;
 pub mod process;
 pub mod program;
+pub mod relay;
