--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -33,8 +33,10 @@
 `POST /reset`.
 */
 
+pub mod backend;
 pub mod client;
 pub mod http;
 pub mod platform;
 pub mod process;
 pub mod program;
+pub mod relay;
