--- a/crates/policy/src/detection.rs
+++ b/crates/policy/src/detection.rs
@@ -199,7 +199,9 @@
             costs,
             test,
             base: shares.base_min,
-            threshold: test.threshold(settings, costs, 0.0),
+            // Until the first refresh the rate is unknown. The greatest threshold
+            // keeps all the evidence that a lower one would cut off.
+            threshold: settings.threshold_max,
             started: now,
             refreshed: now,
             upstreams: vec![Evidence::default(); upstreams],
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -46,8 +46,8 @@
     pub trial_good: u32,
     /// Shed requests that fail a trial.
     pub trial_shed: u32,
-    /// A class trial ends in a ramp after this time without a request of the
-    /// class at the service. Otherwise a class out of use would keep upstreams
+    /// A class trial ends in a ramp when, for this time since its start, the
+    /// service has had no request of the class. Otherwise a class out of use would keep upstreams
     /// from counting towards the floor.
     pub trial_idle: Duration,
     /// Time from the start of a term without ejections, in which the entry
