Decide retries by the policy crate and place alone when needed

Cause: the entry path had its own copy of the retry rules and a bare random choice for the time without a coordinator.

Change: entry::run drives retry::Request; entry::own holds the fallback or the baseline, its retry budget and the coordinators that do not answer. A draining upstream is named in the settle entry. roster polls the platform and the seeds until membership lands.

--- a/crates/dotterelhinge/src/bin/dotterelhinged.rs
+++ b/crates/dotterelhinge/src/bin/dotterelhinged.rs
@@ -41,7 +41,7 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    logging::init(&settings.log_level, &settings.host);
+    logging::init(settings.log_level, &settings.host);
     match daemon::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/dotterelhinge/src/context.rs
+++ b/crates/dotterelhinge/src/context.rs
@@ -135,5 +135,7 @@
 
 /// Locks a mutex whose data stays sound if a holder panicked.
 pub fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
 }
--- a/crates/dotterelhinge/src/coordinator.rs
+++ b/crates/dotterelhinge/src/coordinator.rs
@@ -78,9 +78,14 @@
                 Arc::clone(service),
                 Duty {
                     policy: placement::Coordinator::new(
-                        placement::Settings::default(),
+                        placement::Settings {
+                            term,
+                            seed: rand::random(),
+                            ..placement::Settings::default()
+                        },
                         Arc::clone(contract),
                         Arc::clone(&snapshot.classes),
+                        Arc::clone(&snapshot.customers),
                         &adopted,
                         now,
                     ),
@@ -93,8 +98,13 @@
         let duty = self.duties.get_mut(service)?;
         if duty.version != in_force.version {
             duty.version = in_force.version;
-            duty.policy
-                .configure(now, Arc::clone(contract), Arc::clone(&snapshot.classes));
+            let actions = duty.policy.configure(
+                now,
+                Arc::clone(contract),
+                Arc::clone(&snapshot.classes),
+                Arc::clone(&snapshot.customers),
+            );
+            duty.carry_out(now, &in_force, service, actions);
         }
         Some(duty)
     }
@@ -116,7 +126,12 @@
         in_force.as_ref()?.snapshot.class(name)
     }
 
-    fn wait(&mut self, service: &Arc<str>, ticket: u64, limit: Duration) -> ResponseFuture<wire::Answer> {
+    fn wait(
+        &mut self,
+        service: &Arc<str>,
+        ticket: u64,
+        limit: Duration,
+    ) -> ResponseFuture<wire::Answer> {
         let now = self.context.clock.now();
         let Some(entry) = self
             .duties
@@ -188,7 +203,10 @@
         actions: Vec<placement::Action>,
     ) {
         let snapshot = &in_force.snapshot;
-        let Some(contract) = snapshot.service(service).map(|index| &snapshot.services[index]) else {
+        let Some(contract) = snapshot
+            .service(service)
+            .map(|index| &snapshot.services[index])
+        else {
             return;
         };
         for action in actions {
@@ -336,7 +354,9 @@
                 elapsed_us,
                 draining,
             } if self.current(&service, term) => {
-                let _ = draining;
+                if let Some(upstream) = draining {
+                    self.handle_event(&service, placement::Event::Leaving(upstream));
+                }
                 self.handle_event(
                     &service,
                     placement::Event::Settle {
@@ -383,7 +403,10 @@
                 service,
                 term,
                 view,
-            } => self.context.note_standing(service, term, view),
+            } => {
+                self.handle_event(&service, placement::Event::Adopt(view.clone()));
+                self.context.note_standing(service, term, view);
+            }
             wire::Entry::Renew {
                 service,
                 term,
@@ -447,7 +470,10 @@
         name: &Arc<str>,
         rows: &mut Vec<serde_json::Value>,
     ) {
-        let Some(service) = snapshot.service(name).map(|index| &snapshot.services[index]) else {
+        let Some(service) = snapshot
+            .service(name)
+            .map(|index| &snapshot.services[index])
+        else {
             return;
         };
         let health = self.policy.health();
--- a/crates/dotterelhinge/src/daemon.rs
+++ b/crates/dotterelhinge/src/daemon.rs
@@ -48,6 +48,7 @@
     let coordinator = coordinator::Actor::new(Arc::clone(&context)).start();
     let ledger = ledger::Actor::new(Arc::clone(&context), coordinator.clone()).start();
     let stop = Arc::new(tokio::sync::Notify::new());
+    actix_web::rt::spawn(crate::roster::run(Arc::clone(&context)));
 
     let peer_server = {
         let server = peer::Server {
--- a/crates/dotterelhinge/src/entry/answer.rs
+++ b/crates/dotterelhinge/src/entry/answer.rs
@@ -15,7 +15,7 @@
 };
 use awc::ClientResponse;
 use bytes::{Bytes, BytesMut};
-use dotterelhinge_policy::health;
+use dotterelhinge_policy::{health, retry};
 use futures_util::Stream;
 use tokio::time::Sleep;
 
@@ -144,20 +144,24 @@
     );
     if declined && present(&service.not_run_header) {
         watch.settle(health::Outcome::Shed, draining);
-        return failed(problem::Kind::UpstreamShed, problem::Outcome::NotRun);
+        return failed(retry::Ended::NotRun(retry::Kind::UpstreamShed));
     }
     let crossed = service.echo_header.as_ref().is_some_and(|name| {
-        response.headers().get(&**name).map(|value| value.as_bytes()) != Some(exchange.id.as_bytes())
+        response
+            .headers()
+            .get(&**name)
+            .map(|value| value.as_bytes())
+            != Some(exchange.id.as_bytes())
     });
     if crossed {
         log::warn!(event = "crossed_answer", request_id = exchange.id, service = &*service.name; "answer belongs to another request");
         watch.settle(health::Outcome::Failed, draining);
-        return failed(problem::Kind::CrossedAnswer, problem::Outcome::Unknown);
+        return failed(retry::Ended::Unknown(retry::Kind::CrossedAnswer));
     }
     let framing = framing(request, &response);
     if framing == Framing::Unbounded {
         watch.settle(health::Outcome::Failed, draining);
-        return failed(problem::Kind::BrokenAnswer, problem::Outcome::Unknown);
+        return failed(retry::Ended::Unknown(retry::Kind::BrokenAnswer));
     }
     let head = head(exchange, &response);
     let mut source = Source {
@@ -180,7 +184,7 @@
                 Ok(Some(Err(error))) => {
                     log::debug!(event = "broken_answer", request_id = exchange.id, error = error.to_string(); "answer is not whole");
                     watch.settle(health::Outcome::Failed, draining);
-                    return failed(problem::Kind::BrokenAnswer, problem::Outcome::Unknown);
+                    return failed(retry::Ended::Unknown(retry::Kind::BrokenAnswer));
                 }
                 Ok(Some(Ok(chunk))) => held.extend_from_slice(&chunk),
                 Ok(None) => {
@@ -229,8 +233,7 @@
     };
     if status.is_server_error() && exchange.class().repeatable {
         return Ending::Failed {
-            kind: problem::Kind::BrokenAnswer,
-            outcome: problem::Outcome::Unknown,
+            ended: retry::Ended::Unknown(retry::Kind::BrokenAnswer),
             answer: Some(answer),
         };
     }
@@ -316,7 +319,10 @@
         if !this.held.is_empty() {
             return Poll::Ready(Some(Ok(std::mem::take(&mut this.held))));
         }
-        let now = this.watch.as_ref().map_or_else(Instant::now, watch::Watch::now);
+        let now = this
+            .watch
+            .as_ref()
+            .map_or_else(Instant::now, watch::Watch::now);
         match this.source.poll(cx, now) {
             Poll::Ready(Some(Ok(chunk))) => {
                 this.owed_since = None;
--- a/crates/dotterelhinge/src/entry/attempt.rs
+++ b/crates/dotterelhinge/src/entry/attempt.rs
@@ -8,9 +8,9 @@
     http::{Method, StatusCode, header},
 };
 use awc::{ClientRequest, ClientResponse, error::SendRequestError};
-use dotterelhinge_policy::health;
+use dotterelhinge_policy::{health, retry};
 
-use super::{Exchange, Worker, answer, body, headers, problem, slot, watch};
+use super::{Exchange, Worker, answer, body, headers, slot, watch};
 use crate::link;
 
 /// How an attempt ended.
@@ -19,10 +19,8 @@
     Answered(HttpResponse),
     /// Without one.
     Failed {
-        /// What went wrong.
-        kind: problem::Kind,
-        /// Whether the upstream may have run the request.
-        outcome: problem::Outcome,
+        /// What went wrong, and whether the upstream may have run the request.
+        ended: retry::Ended,
         /// A whole answer that reports a failure of the upstream, for when no
         /// attempt is left.
         answer: Option<HttpResponse>,
@@ -30,10 +28,9 @@
 }
 
 /// An ending without an answer.
-pub fn failed(kind: problem::Kind, outcome: problem::Outcome) -> Ending {
+pub fn failed(ended: retry::Ended) -> Ending {
     Ending::Failed {
-        kind,
-        outcome,
+        ended,
         answer: None,
     }
 }
@@ -66,11 +63,11 @@
     let response = match sent {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
-            let (kind, outcome, seen) = classify(&state, body, &error);
+            let (ended, seen) = classify(&state, body, &error);
             log::debug!(event = "attempt_failed", request_id = exchange.id, upstream = address.to_string(),
-                kind = kind.name(), error = error.to_string(); "attempt failed");
+                ended = format!("{ended:?}"), error = error.to_string(); "attempt failed");
             watch.settle(seen, false);
-            return failed(kind, outcome);
+            return failed(ended);
         }
         Err(stall) => return stalled(stall, &state, watch),
     };
@@ -135,7 +132,11 @@
                 .await
         }
         None if has_body(request) => outgoing.send_stream(body.reader()).await,
-        _ if matches!(*request.method(), Method::POST | Method::PUT | Method::PATCH) => {
+        _ if matches!(
+            *request.method(),
+            Method::POST | Method::PUT | Method::PATCH
+        ) =>
+        {
             outgoing.send_body(bytes::Bytes::new()).await
         }
         _ => outgoing.send().await,
@@ -148,39 +149,30 @@
     state: &link::State,
     body: &body::Body,
     error: &SendRequestError,
-) -> (problem::Kind, problem::Outcome, health::Outcome) {
-    use problem::{Kind, Outcome};
+) -> (retry::Ended, health::Outcome) {
+    use retry::{Ended, Kind};
 
     if state.lapsed.get() {
-        return (Kind::Deadline, Outcome::NotRun, health::Outcome::Neutral);
+        return (Ended::NotRun(Kind::Deadline), health::Outcome::Neutral);
     }
     if !state.begun.get() {
         let seen = match error {
             SendRequestError::Connect(_) => health::Outcome::ConnectFailed,
             _ => health::Outcome::Neutral,
         };
-        return (Kind::ConnectFailed, Outcome::NotRun, seen);
+        return (Ended::NotRun(Kind::ConnectFailed), seen);
     }
     match body.failure() {
-        Some(body::Failure::TooLarge) => {
-            (Kind::TooLarge, Outcome::Unknown, health::Outcome::Neutral)
-        }
-        Some(body::Failure::Caller) => {
-            (Kind::BadRequest, Outcome::Unknown, health::Outcome::Neutral)
-        }
-        None => (Kind::BrokenAnswer, Outcome::Unknown, health::Outcome::Failed),
+        Some(body::Failure::TooLarge) => (Ended::Unknown(Kind::TooLarge), health::Outcome::Neutral),
+        Some(body::Failure::Caller) => (Ended::Unknown(Kind::BadRequest), health::Outcome::Neutral),
+        None => (Ended::Unknown(Kind::BrokenAnswer), health::Outcome::Failed),
     }
 }
 
 /// The ending of an attempt that is stuck.
 pub fn stalled(stall: watch::Stall, state: &link::State, watch: watch::Watch) -> Ending {
-    use problem::{Kind, Outcome};
+    use retry::{Ended, Kind};
 
-    let outcome = if state.begun.get() {
-        Outcome::Unknown
-    } else {
-        Outcome::NotRun
-    };
     let (kind, seen) = match stall {
         watch::Stall::Caller => (Kind::BadRequest, health::Outcome::Neutral),
         watch::Stall::Upstream => (Kind::UpstreamSilent, health::Outcome::Failed),
@@ -188,7 +180,11 @@
         watch::Stall::Limit => (Kind::Deadline, health::Outcome::Neutral),
     };
     watch.settle(seen, false);
-    failed(kind, outcome)
+    failed(if state.begun.get() {
+        Ended::Unknown(kind)
+    } else {
+        Ended::NotRun(kind)
+    })
 }
 
 /// Evidence that an answer with `status` is.
--- a/crates/dotterelhinge/src/entry/mod.rs
+++ b/crates/dotterelhinge/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod body;
 mod headers;
+mod own;
 mod problem;
 mod slot;
 mod watch;
@@ -20,8 +21,7 @@
 
 use actix::Addr;
 use actix_web::{HttpRequest, HttpResponse, http::header, web};
-use dotterelhinge_policy::{contract, placement};
-use smallvec::SmallVec;
+use dotterelhinge_policy::{contract, retry};
 
 use crate::{context, coordinator, ledger, metrics, peer};
 
@@ -36,7 +36,7 @@
     coordinator: Addr<coordinator::Actor>,
     ledger: Addr<ledger::Actor>,
     peers: peer::Client,
-    slots: RefCell<slot::Own>,
+    own: RefCell<own::Own>,
 }
 
 impl Worker {
@@ -48,7 +48,7 @@
     ) -> Self {
         Self {
             peers: peer::Client::new(Arc::clone(&context)),
-            slots: RefCell::default(),
+            own: RefCell::default(),
             context,
             coordinator,
             ledger,
@@ -67,10 +67,9 @@
     service: usize,
     class: usize,
     customer: Arc<str>,
-    arrived: Instant,
     deadline: Instant,
     attempts: u32,
-    excluded: SmallVec<[Arc<str>; 4]>,
+    excluded: retry::Excluded,
 }
 
 impl Exchange {
@@ -98,7 +97,7 @@
     metrics::Registry::add(&worker.context.metrics.counters.requests, 1);
     let exchange = match admit(&worker, &request, &id, arrived) {
         Ok(exchange) => exchange,
-        Err(kind) => return problem::answer(kind, problem::Outcome::NotRun, &id),
+        Err(kind) => return problem::answer(kind, retry::Outcome::NotRun, &id),
     };
     let class = Arc::clone(&exchange.class().name);
     let customer = Arc::clone(&exchange.customer);
@@ -125,13 +124,13 @@
     request: &HttpRequest,
     id: &str,
     arrived: Instant,
-) -> Result<Exchange, problem::Kind> {
+) -> Result<Exchange, retry::Kind> {
     let context = &worker.context;
     let in_force = context
         .in_force
         .load_full()
         .filter(|_| !context.unchecked())
-        .ok_or(problem::Kind::NotReady)?;
+        .ok_or(retry::Kind::NotReady)?;
     let host = request
         .headers()
         .get(header::HOST)
@@ -139,7 +138,7 @@
     let route = in_force
         .snapshot
         .route(host, request.method().as_str(), request.path())
-        .ok_or(problem::Kind::NoRoute)?;
+        .ok_or(retry::Kind::NoRoute)?;
     let (service, class) = (route.service, route.class);
     let customer = in_force
         .snapshot
@@ -155,7 +154,7 @@
             .ok()
             .and_then(|value| value.parse().ok())
             .map(Duration::from_millis)
-            .ok_or(problem::Kind::BadRequest)?;
+            .ok_or(retry::Kind::BadRequest)?;
         left = left.min(own);
     }
     Ok(Exchange {
@@ -164,14 +163,14 @@
         service,
         class,
         customer,
-        arrived,
         deadline: arrived + left,
         attempts: 0,
-        excluded: SmallVec::new(),
+        excluded: retry::Excluded::new(),
     })
 }
 
-type Failure = (problem::Kind, problem::Outcome);
+/// A failure as told to the caller.
+type Failure = (retry::Kind, retry::Outcome);
 
 async fn run(
     worker: &Rc<Worker>,
@@ -179,80 +178,85 @@
     request: &HttpRequest,
     payload: web::Payload,
 ) -> Result<HttpResponse, Failure> {
-    use problem::{Kind, Outcome};
-
+    let body = take_body(worker, &exchange, request, payload).await?;
     let class = exchange.class().clone();
-    let now = worker.context.clock.now();
-    let limit = worker.context.settings.max_body_bytes;
-    if let Some(length) = request.headers().get(header::CONTENT_LENGTH) {
-        let length: u64 = length
-            .to_str()
-            .ok()
-            .and_then(|value| value.parse().ok())
-            .ok_or((Kind::BadRequest, Outcome::NotRun))?;
-        if length > limit {
-            return Err((Kind::TooLarge, Outcome::NotRun));
-        }
-    }
-    let body = body::Body::new(payload, class.replay_bytes, limit, now);
-    if !class.upload {
-        let left = exchange.left(now);
-        match tokio::time::timeout(left, body.fill()).await {
-            Err(_) => return Err((Kind::Deadline, Outcome::NotRun)),
-            Ok(Err(body::Failure::TooLarge)) => return Err((Kind::TooLarge, Outcome::NotRun)),
-            Ok(Err(body::Failure::Caller)) => return Err((Kind::BadRequest, Outcome::NotRun)),
-            Ok(Ok(())) => {}
-        }
-    }
-    // What the caller is told if no further attempt is made.
-    let mut last: Failure = (Kind::Deadline, Outcome::NotRun);
+    let mut pending = retry::Request::new(&class);
     loop {
         let now = worker.context.clock.now();
-        if exchange.left(now).is_zero() && !class.upload {
-            return Err(if exchange.attempts == 0 { (Kind::Deadline, Outcome::NotRun) } else { last });
+        if !class.upload && exchange.left(now).is_zero() {
+            return Err(failure(pending.expired()));
         }
-        exchange.attempts += 1;
+        exchange.attempts = pending.attempt();
         let slot = match slot::acquire(worker, &exchange).await {
             Ok(slot) => slot,
-            // A retry that gets no slot reports the attempt before it.
-            Err(_) if exchange.attempts > 1 => return Err(last),
-            Err(refusal) => return Err((refused(refusal), Outcome::NotRun)),
+            Err(refusal) => return Err(failure(pending.refused(refusal.into()))),
         };
-        let upstream = Arc::clone(slot.upstream());
         metrics::Registry::add(&worker.context.metrics.counters.attempts, 1);
-        let result = attempt::run(worker, &exchange, slot, request, &body).await;
-        match result {
+        let running = pending.start(Arc::clone(slot.upstream()));
+        let (ended, answer) = match attempt::run(worker, &exchange, slot, request, &body).await {
             attempt::Ending::Answered(answer) => return Ok(answer),
-            attempt::Ending::Failed { kind, outcome, answer } => {
-                let may_repeat = class.repeatable || outcome == Outcome::NotRun;
-                if exchange.attempts < class.attempts && may_repeat && body.replayable() && body.failure().is_none() {
-                    last = worst(last, (kind, outcome));
-                    exchange.excluded.push(upstream);
-                    continue;
-                }
-                if let Some(answer) = answer {
-                    return Ok(answer);
-                }
-                return Err(worst(last, (kind, outcome)));
+            attempt::Ending::Failed { ended, answer } => (ended, answer),
+        };
+        let now = worker.context.clock.now();
+        let left = if class.upload {
+            class.progress_timeout
+        } else {
+            exchange.left(now)
+        };
+        let state = retry::State {
+            left,
+            answer_begun: false,
+            replayable: body.replayable() && body.failure().is_none(),
+        };
+        // The budget is kept where the next slot comes from.
+        match running.end(ended, state, || true) {
+            retry::Decision::Retry { request, excluded } => {
+                pending = request;
+                exchange.excluded = excluded;
             }
+            decision => return answer.ok_or_else(|| failure(decision)),
         }
     }
 }
 
-/// The later failure, unless an earlier attempt may have run.
-fn worst(before: Failure, after: Failure) -> Failure {
-    if before.1 == problem::Outcome::Unknown && after.1 == problem::Outcome::NotRun {
-        (after.0, problem::Outcome::Unknown)
-    } else {
-        after
+fn failure(decision: retry::Decision) -> Failure {
+    match decision {
+        retry::Decision::Fail { kind, outcome } => (kind, outcome),
+        // Not reached: deliveries and retries are taken by the caller.
+        _ => (retry::Kind::BrokenAnswer, retry::Outcome::Unknown),
     }
 }
 
-fn refused(refusal: placement::Refusal) -> problem::Kind {
-    match refusal {
-        placement::Refusal::Overloaded | placement::Refusal::Budget => problem::Kind::Overloaded,
-        placement::Refusal::QueueTimeout => problem::Kind::QueueTimeout,
-        placement::Refusal::CustomerLimit => problem::Kind::CustomerLimit,
-        placement::Refusal::NoUpstream => problem::Kind::NoUpstream,
+/// The body of a request. A small one is read whole before a slot is asked
+/// for, so that a slow caller holds none.
+async fn take_body(
+    worker: &Worker,
+    exchange: &Exchange,
+    request: &HttpRequest,
+    payload: web::Payload,
+) -> Result<body::Body, Failure> {
+    let not_run = |kind| (kind, retry::Outcome::NotRun);
+    let class = exchange.class();
+    let now = worker.context.clock.now();
+    let limit = worker.context.settings.max_body_bytes;
+    if let Some(length) = request.headers().get(header::CONTENT_LENGTH) {
+        let length: u64 = length
+            .to_str()
+            .ok()
+            .and_then(|value| value.parse().ok())
+            .ok_or(not_run(retry::Kind::BadRequest))?;
+        if length > limit {
+            return Err(not_run(retry::Kind::TooLarge));
+        }
+    }
+    let body = body::Body::new(payload, class.replay_bytes, limit, now);
+    if !class.upload {
+        match tokio::time::timeout(exchange.left(now), body.fill()).await {
+            Err(_) => return Err(not_run(retry::Kind::Deadline)),
+            Ok(Err(body::Failure::TooLarge)) => return Err(not_run(retry::Kind::TooLarge)),
+            Ok(Err(body::Failure::Caller)) => return Err(not_run(retry::Kind::BadRequest)),
+            Ok(Ok(())) => {}
+        }
     }
+    Ok(body)
 }
--- a/crates/dotterelhinge/src/entry/slot.rs
+++ b/crates/dotterelhinge/src/entry/slot.rs
@@ -2,7 +2,6 @@
 //! this daemon alone while the coordinator can't be reached.
 
 use std::{
-    collections::HashMap,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -11,30 +10,23 @@
 use dotterelhinge_policy::{contract, health, placement};
 
 use super::{Exchange, Worker};
-use crate::{coordinator, ledger, metrics, wire};
+use crate::{coordinator, ledger, members, metrics, settings, wire};
 
 /// A coordinator that has not answered for this much longer than it may take
 /// is passed over.
 const ANSWER_GRACE: Duration = Duration::from_millis(50);
 
-/// A coordinator that failed is not asked again for this long.
-const PASSED_OVER: Duration = Duration::from_secs(1);
-
-/// A grant must be used within this time.
+/// A slot of this daemon's own choice must be used within this time.
 const START_WITHIN: Duration = Duration::from_secs(1);
 
-/// Slots that this worker uses by its own choice, and coordinators that it
-/// passes over.
-#[derive(Default)]
-pub struct Own {
-    in_use: HashMap<std::net::SocketAddr, u32>,
-    passed_over: HashMap<Arc<str>, Instant>,
-}
+/// Without the coordinator the latency of the service is not known.
+const SLOW_AFTER: Duration = Duration::from_secs(1);
 
 /// The right to run one attempt on one upstream. Dropping it gives the slot
 /// back without evidence.
 pub struct Slot {
     worker: Rc<Worker>,
+    service: Arc<str>,
     upstream: contract::Upstream,
     attempt: u64,
     granted: bool,
@@ -82,12 +74,16 @@
                 elapsed,
                 draining,
             });
-        } else {
-            let mut own = self.worker.slots.borrow_mut();
-            if let Some(in_use) = own.in_use.get_mut(&self.upstream.address) {
-                *in_use = in_use.saturating_sub(1);
-            }
         }
+        let now = self.worker.context.clock.now();
+        self.worker.own.borrow_mut().settle(
+            now,
+            &self.service,
+            &self.upstream.name,
+            outcome,
+            draining,
+            !self.granted,
+        );
     }
 }
 
@@ -98,49 +94,53 @@
 }
 
 /// Gets a slot for the next attempt of `exchange`.
-pub async fn acquire(
-    worker: &Rc<Worker>,
-    exchange: &Exchange,
-) -> Result<Slot, placement::Refusal> {
-    let now = worker.context.clock.now();
-    let members = worker.context.members.load_full();
-    if let Some(member) = members.coordinator(&exchange.service().name) {
-        let passed_over = worker
-            .slots
-            .borrow()
-            .passed_over
-            .get(&member.host)
-            .is_some_and(|since| now.duration_since(*since) < PASSED_OVER);
-        if !passed_over {
-            match ask(worker, exchange, member).await {
-                Some(wire::Answer::Granted(grant)) => {
+pub async fn acquire(worker: &Rc<Worker>, exchange: &Exchange) -> Result<Slot, placement::Refusal> {
+    if worker.context.settings.policy == settings::Policy::Fleet {
+        let members = worker.context.members.load_full();
+        if let Some(member) = members.coordinator(&exchange.service().name)
+            && let Some(answer) = ask_if_reachable(worker, exchange, member).await
+        {
+            match answer {
+                wire::Answer::Granted(grant) => {
                     if let Some(slot) = accept(worker, exchange, member, &grant) {
                         return Ok(slot);
                     }
                 }
-                Some(wire::Answer::Refused(refusal)) => return Err(refusal),
-                Some(wire::Answer::Queued { .. } | wire::Answer::NotCoordinator) => {}
-                None => {
-                    let now = worker.context.clock.now();
-                    log::warn!(event = "coordinator_unreachable", service = &*exchange.service().name, coordinator = &*member.host;
-                        "placing requests without the coordinator");
-                    worker
-                        .slots
-                        .borrow_mut()
-                        .passed_over
-                        .insert(Arc::clone(&member.host), now);
-                }
+                wire::Answer::Refused(refusal) => return Err(refusal),
+                wire::Answer::Queued { .. } | wire::Answer::NotCoordinator => {}
             }
         }
+        metrics::Registry::add(&worker.context.metrics.counters.fallbacks, 1);
     }
-    metrics::Registry::add(&worker.context.metrics.counters.fallbacks, 1);
-    alone(worker, exchange).ok_or(placement::Refusal::NoUpstream)
+    alone(worker, exchange)
+}
+
+async fn ask_if_reachable(
+    worker: &Rc<Worker>,
+    exchange: &Exchange,
+    member: &members::Member,
+) -> Option<wire::Answer> {
+    let now = worker.context.clock.now();
+    if worker.own.borrow().passes_over(now, &member.host) {
+        return None;
+    }
+    let answer = ask(worker, exchange, member).await;
+    if answer.is_none() {
+        let now = worker.context.clock.now();
+        log::warn!(event = "coordinator_unreachable", service = &*exchange.service().name, coordinator = &*member.host;
+            "placing requests without the coordinator");
+        worker
+            .own
+            .borrow_mut()
+            .pass_over(now, Arc::clone(&member.host));
+    }
+    answer
 }
 
 async fn ask(
     worker: &Rc<Worker>,
     exchange: &Exchange,
-    member: &crate::members::Member,
+    member: &members::Member,
 ) -> Option<wire::Answer> {
     let now = worker.context.clock.now();
     let settings = &worker.context.settings;
@@ -153,11 +153,18 @@
         availability_zone: Arc::clone(&settings.availability_zone),
         wait_ms: wait.as_millis() as u32,
         attempt: exchange.attempts,
-        excluded: exchange.excluded.clone(),
+        excluded: worker
+            .own
+            .borrow_mut()
+            .excluded(&worker.context, exchange, now),
     };
     let local = member.host == settings.host;
     let mut answer = if local {
-        worker.coordinator.send(coordinator::Acquire(message)).await.ok()
+        worker
+            .coordinator
+            .send(coordinator::Acquire(message))
+            .await
+            .ok()
     } else {
         let limit = coordinator::FIRST_ANSWER + ANSWER_GRACE;
         worker
@@ -172,7 +179,11 @@
             ticket,
         };
         answer = if local {
-            worker.coordinator.send(coordinator::Await(message)).await.ok()
+            worker
+                .coordinator
+                .send(coordinator::Await(message))
+                .await
+                .ok()
         } else {
             let limit = coordinator::NEXT_ANSWER + ANSWER_GRACE;
             worker
@@ -188,7 +199,7 @@
 fn accept(
     worker: &Rc<Worker>,
     exchange: &Exchange,
-    member: &crate::members::Member,
+    member: &members::Member,
     grant: &wire::Grant,
 ) -> Option<Slot> {
     let attempt = Worker::next_attempt();
@@ -223,6 +234,7 @@
     };
     Some(Slot {
         worker: Rc::clone(worker),
+        service: Arc::clone(&exchange.service().name),
         upstream,
         attempt,
         granted: true,
@@ -232,36 +244,21 @@
     })
 }
 
-/// Two random choices by this worker's own slots in use.
-fn alone(worker: &Rc<Worker>, exchange: &Exchange) -> Option<Slot> {
+/// A slot of this daemon's own choice.
+fn alone(worker: &Rc<Worker>, exchange: &Exchange) -> Result<Slot, placement::Refusal> {
     let now = worker.context.clock.now();
-    let service = exchange.service();
-    let leaving = worker
-        .context
-        .standing(&service.name)
-        .map(|standing| standing.view.leaving)
-        .unwrap_or_default();
-    let candidates: Vec<_> = service
-        .upstreams
-        .iter()
-        .filter(|u| !u.leaving && !leaving.contains(&u.name) && !exchange.excluded.contains(&u.name))
-        .collect();
-    if candidates.is_empty() {
-        return None;
-    }
-    let mut own = worker.slots.borrow_mut();
-    let pick = || candidates[rand::random_range(0..candidates.len())];
-    let (left, right) = (pick(), pick());
-    let used = |u: &contract::Upstream| own.in_use.get(&u.address).copied().unwrap_or(0);
-    let chosen = if used(left) <= used(right) { left } else { right };
-    *own.in_use.entry(chosen.address).or_insert(0) += 1;
-    Some(Slot {
+    let upstream = worker
+        .own
+        .borrow_mut()
+        .pick(&worker.context, exchange, now)?;
+    Ok(Slot {
         worker: Rc::clone(worker),
-        upstream: chosen.clone(),
+        service: Arc::clone(&exchange.service().name),
+        upstream,
         attempt: Worker::next_attempt(),
         granted: false,
         settled: false,
         start_by: now + START_WITHIN,
-        slow_after: Duration::from_secs(1),
+        slow_after: SLOW_AFTER,
     })
 }
--- a/crates/dotterelhinge/src/ledger.rs
+++ b/crates/dotterelhinge/src/ledger.rs
@@ -310,7 +310,7 @@
                 grant: held.grant,
                 outcome: settle.outcome,
                 elapsed_us: settle.elapsed.as_micros() as u64,
-                draining: settle.draining,
+                draining: settle.draining.then_some(held.upstream),
             },
         );
         self.flush(ctx, &held.coordinator);
--- a/crates/dotterelhinge/src/lib.rs
+++ b/crates/dotterelhinge/src/lib.rs
@@ -38,6 +38,7 @@
 mod metrics;
 mod peer;
 pub mod platform;
+mod roster;
 pub mod settings;
 pub mod text;
 mod wire;
--- a/crates/dotterelhinge/src/link.rs
+++ b/crates/dotterelhinge/src/link.rs
@@ -75,16 +75,16 @@
         Pin::new(&mut self.inner).poll_flush(cx)
     }
 
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut task::Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
 
 impl actix_web::rt::net::ActixStream for Stream {
-    fn poll_read_ready(&self, cx: &mut task::Context<'_>) -> Poll<io::Result<actix_web::rt::net::Ready>> {
+    fn poll_read_ready(
+        &self,
+        cx: &mut task::Context<'_>,
+    ) -> Poll<io::Result<actix_web::rt::net::Ready>> {
         actix_web::rt::net::ActixStream::poll_read_ready(&self.inner, cx)
     }
 
@@ -121,7 +121,10 @@
                 return Err(ConnectError::Io(io::ErrorKind::TimedOut.into()));
             }
             state.begun.set(true);
-            Ok(Connection::new(info.request().clone(), Stream { inner, state }))
+            Ok(Connection::new(
+                info.request().clone(),
+                Stream { inner, state },
+            ))
         }
     });
     awc::Client::builder()
--- a/crates/dotterelhinge/src/logging.rs
+++ b/crates/dotterelhinge/src/logging.rs
@@ -18,12 +18,11 @@
     }
 }
 
-/// Starts logging for a process; `level` is a filter as in `info` or
-/// `info,dotterelhinge::entry=debug`.
-pub fn init(level: &str, host: &str) {
+/// Starts logging for a process from `level` on.
+pub fn init(level: log::LevelFilter, host: &str) {
     let host = host.to_owned();
     env_logger::Builder::new()
-        .parse_filters(level)
+        .filter_level(level)
         .format(move |out, record| {
             let mut line = Map::new();
             line.insert("time".into(), out.timestamp_micros().to_string().into());
--- a/crates/dotterelhinge/src/metrics.rs
+++ b/crates/dotterelhinge/src/metrics.rs
@@ -54,7 +54,8 @@
         let statsd = match sink {
             None => None,
             Some(address) => {
-                let socket = UdpSocket::bind(("127.0.0.1", 0)).or_else(|_| UdpSocket::bind("0.0.0.0:0"))?;
+                let socket =
+                    UdpSocket::bind(("127.0.0.1", 0)).or_else(|_| UdpSocket::bind("0.0.0.0:0"))?;
                 socket.set_nonblocking(true)?;
                 let udp = cadence::BufferedUdpMetricSink::from(address, socket)
                     .map_err(std::io::Error::other)?;
--- a/crates/dotterelhinge/src/peer.rs
+++ b/crates/dotterelhinge/src/peer.rs
@@ -121,7 +121,9 @@
                 &context.metrics.counters.control_sent,
                 body.len() as u64 + HEAD_BYTES,
             );
-            HttpResponse::Ok().content_type(wire::CONTENT_TYPE).body(body)
+            HttpResponse::Ok()
+                .content_type(wire::CONTENT_TYPE)
+                .body(body)
         }
         Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
     }
@@ -175,11 +177,24 @@
     Ok(encode(&server.context, &receipt))
 }
 
+async fn identity(server: web::Data<Server>) -> HttpResponse {
+    let settings = &server.context.settings;
+    encode(
+        &server.context,
+        &(
+            &settings.host,
+            &settings.availability_zone,
+            &settings.region,
+        ),
+    )
+}
+
 /// Adds the paths of the peer port.
 pub fn configure(config: &mut web::ServiceConfig) {
     config
         .app_data(web::PayloadConfig::new(LARGEST_BYTES))
         .route("/peer/v1/acquire", web::post().to(acquire))
         .route("/peer/v1/await", web::post().to(wait))
+        .route("/peer/v1/identity", web::post().to(identity))
         .route("/peer/v1/report", web::post().to(report));
 }
--- a/crates/dotterelhinge/src/wire.rs
+++ b/crates/dotterelhinge/src/wire.rs
@@ -94,8 +94,8 @@
         outcome: health::Outcome,
         /// Time from the first byte to the end, in microseconds.
         elapsed_us: u64,
-        /// Whether the upstream said that it is leaving.
-        draining: bool,
+        /// The upstream, if it said that it is leaving.
+        draining: Option<Arc<str>>,
     },
     /// An attempt runs longer than its `slow_after_ms`.
     Overdue {
