--- /dev/null
+++ b/crates/dotterelhinge/src/entry/problem.rs
@@ -0,0 +1,35 @@
+//! Failures as callers see them: problem documents with a header that says
+//! whether the request may have run.
+
+use actix_web::{HttpResponse, http::StatusCode};
+use dotterelhinge_policy::retry;
+use serde_json::json;
+
+/// Header with `not-run` or `unknown`.
+pub const OUTCOME_HEADER: &str = "dotterelhinge-outcome";
+
+/// Header with the request id on every answer.
+pub const REQUEST_ID_HEADER: &str = "dotterelhinge-request-id";
+
+/// The answer for a failed request.
+pub fn answer(kind: retry::Kind, outcome: retry::Outcome, request_id: &str) -> HttpResponse {
+    let status = StatusCode::from_u16(kind.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut builder = HttpResponse::build(status);
+    builder
+        .content_type("application/problem+json")
+        .insert_header((OUTCOME_HEADER, outcome.name()))
+        .insert_header((REQUEST_ID_HEADER, request_id));
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        builder.insert_header(("retry-after", "1"));
+    }
+    builder.body(
+        json!({
+            "type": format!("urn:dotterelhinge:problem:{}", kind.name()),
+            "title": kind.name(),
+            "status": kind.status(),
+            "outcome": outcome.name(),
+            "request_id": request_id,
+        })
+        .to_string(),
+    )
+}
