--- /dev/null
+++ b/crates/dotterelhinge/benches/text.rs
@@ -0,0 +1,150 @@
+//! Cost of texts with up to 62,000 routes, 120,000 customers and 40,000
+//! upstreams: time of parsing with compilation, of one lookup and of one
+//! delta, and the bytes on the heap as counted by the allocator.
+
+use std::{
+    alloc::{GlobalAlloc, Layout, System},
+    hint::black_box,
+    sync::atomic::{AtomicUsize, Ordering::Relaxed},
+    time::Duration,
+};
+
+use criterion::{Criterion, Throughput};
+use dotterelhinge::text::{self, Text};
+use serde_json::{Value, json};
+
+/// Counts the bytes that are allocated, as requested by the program.
+struct Counting;
+
+static HELD: AtomicUsize = AtomicUsize::new(0);
+static PEAK: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: all calls are passed on to the system allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        let held = HELD.fetch_add(layout.size(), Relaxed) + layout.size();
+        PEAK.fetch_max(held, Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        HELD.fetch_sub(layout.size(), Relaxed);
+        // SAFETY: the caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+const SERVICES: usize = 2_200;
+const UPSTREAMS: usize = 40_000;
+const CUSTOMERS: usize = 120_000;
+const ZONES: usize = 16;
+
+fn document(routes: usize) -> Value {
+    let zones: Vec<_> = (0..ZONES)
+        .map(|zone| json!({"name": format!("zone-{zone}"), "region": format!("region-{}", zone % 5)}))
+        .collect();
+    let customers: Vec<_> = (0..CUSTOMERS)
+        .map(|customer| json!({"name": format!("customer-{customer:06}"), "slot_share": 0.25}))
+        .collect();
+    let services: Vec<_> = (0..SERVICES)
+        .map(|service| {
+            let upstreams: Vec<_> = (service..UPSTREAMS)
+                .step_by(SERVICES)
+                .map(|upstream| {
+                    json!({
+                        "name": format!("backend-{upstream}"),
+                        "address": format!("10.{}.{}.1:8080", upstream / 256, upstream % 256),
+                        "availability_zone": format!("zone-{}", upstream / SERVICES % ZONES),
+                        "slots": 3, "connections": 400,
+                    })
+                })
+                .collect();
+            json!({"name": format!("service-{service}"), "floor": upstreams.len() / 2, "upstreams": upstreams})
+        })
+        .collect();
+    let rules: Vec<_> = (0..routes)
+        .map(|route| {
+            let mut rule = json!({
+                "path_prefix": path(route),
+                "service": format!("service-{}", route % SERVICES),
+                "class": if route % 3 == 0 { "order" } else { "lookup" },
+            });
+            if route % 2 == 0 {
+                rule["methods"] = json!(["GET"]);
+            }
+            if route % 4 == 0 {
+                rule["host"] = json!(format!("shop-{}.example", route % 64));
+            }
+            rule
+        })
+        .collect();
+    json!({
+        "customer_header": "x-customer",
+        "availability_zones": zones,
+        "customers": customers,
+        "classes": [{"name": "lookup", "repeatable": true}, {"name": "order", "repeatable": false}],
+        "services": services,
+        "routes": rules,
+    })
+}
+
+fn path(route: usize) -> String {
+    format!("/v1/area-{}/part-{route}", route % 100)
+}
+
+fn main() {
+    let mut criterion = Criterion::default()
+        .sample_size(10)
+        .warm_up_time(Duration::from_millis(500))
+        .measurement_time(Duration::from_secs(3))
+        .configure_from_args();
+    for routes in [1_000, 10_000, 62_000] {
+        let mut value = document(routes);
+        let bytes = value.to_string().into_bytes();
+        let before = HELD.load(Relaxed);
+        PEAK.store(before, Relaxed);
+        let text = Text::parse(&bytes).expect("text is valid");
+        println!(
+            "{routes} routes: {} bytes of JSON, {} held by the text, of which {} gzip, {} at the peak of parsing",
+            bytes.len(),
+            HELD.load(Relaxed) - before,
+            text.gzip().len(),
+            PEAK.load(Relaxed) - before,
+        );
+
+        let mut group = criterion.benchmark_group("text");
+        group.bench_function(format!("parse/{routes}"), |bencher| {
+            bencher.iter(|| Text::parse(black_box(&bytes)).expect("text is valid"));
+        });
+        value["services"][7]["upstreams"][0]["leaving"] = json!(true);
+        let next = Text::parse(value.to_string().as_bytes()).expect("text is valid");
+        let delta = text::delta(&text, &next);
+        group.bench_function(format!("apply/{routes}"), |bencher| {
+            bencher.iter(|| text::apply(&text, &delta, next.hash()).expect("delta fits"));
+        });
+        drop(value);
+
+        let snapshot = text.snapshot();
+        let requests: Vec<_> = (0..1_000)
+            .map(|request| {
+                let route = request * 61 % routes;
+                let host = format!("Shop-{}.example:443", route % 64);
+                (host, format!("{}/item/{request}", path(route)))
+            })
+            .collect();
+        group.throughput(Throughput::Elements(requests.len() as u64));
+        group.bench_function(format!("lookup/{routes}"), |bencher| {
+            bencher.iter(|| {
+                for (host, path) in &requests {
+                    black_box(snapshot.route(Some(host), "GET", path));
+                }
+            });
+        });
+        group.finish();
+    }
+    criterion.final_summary();
+}
