Refuse texts with repeated members; document text and command line

Cause: serde_json keeps the last of two members with one name. A badly merged text with two lists of services lost the first one without a fault.

Change: text::strict builds the JSON value and refuses a repeated name with line and column, for settings too; docs/text.md and docs/command-line.md.

Ruled out: a check in the schema, which sees the value after the loss.

Measured: a case in tests/data/text/syntax.json; the other tests of text and settings stay green.

--- a/crates/dotterelhinge/src/text.rs
+++ b/crates/dotterelhinge/src/text.rs
@@ -41,6 +41,7 @@
 mod routes;
 pub(crate) mod schema;
 mod snapshot;
+mod strict;
 
 use std::sync::Arc;
 
--- a/crates/dotterelhinge/src/text/schema.rs
+++ b/crates/dotterelhinge/src/text/schema.rs
@@ -5,7 +5,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use super::Fault;
+use super::{Fault, strict::Strict};
 
 /// A compiled JSON Schema.
 #[derive(Debug)]
@@ -38,9 +38,10 @@
     }
 }
 
-/// Parses JSON.
+/// Parses JSON without repeated member names.
 pub(crate) fn read(document: &[u8]) -> Result<Value, Fault> {
-    serde_json::from_slice(document).map_err(|error| {
+    let value = serde_json::from_slice::<Strict>(document);
+    value.map(|Strict(value)| value).map_err(|error| {
         Fault::text(
             "",
             format_args!("line {} column {}", error.line(), error.column()),
