Check and convert large texts in half the time

Cause: a text of the target size took 1.36 s to parse. Timers around the steps showed 260 ms in the conversion, which tracked paths, and 278 ms in the cross-field check, which wrote out the path of every address and route.

Change: paths are written out for faults only. The document now stays in memory during the conversion, to repeat it with paths after a fault.

Ruled out: the schema check (64 ms) and the hash with gzip (99 ms).

Measured, 62,000 routes, 120,000 customers, 40,000 upstreams, shared machine: parse 1,360 ms before, 686 ms after; delta 1,391 ms, 720 ms; peak of parsing 169 MB, 190 MB; held 21.1 MB in both. Lookup is unchanged code and took 0.59 us and 0.43 us, so that part of the gain is a quieter machine.

--- a/crates/dotterelhinge/src/text/check.rs
+++ b/crates/dotterelhinge/src/text/check.rs
@@ -46,23 +46,25 @@
         .filter(|address| address.port() != 0 && !address.ip().is_unspecified())
 }
 
-/// Keeps the place of the first use of a key and reports later ones.
-fn unique<K: Eq + Hash>(
-    seen: &mut HashMap<K, String>,
+/// Keeps the place of the first use of a key and reports later ones. Places
+/// are written out for faults only, since a text has 100,000 keys.
+fn unique<K: Eq + Hash, P: Copy>(
+    seen: &mut HashMap<K, P>,
     faults: &mut Vec<Fault>,
     key: K,
-    path: String,
+    place: P,
+    path: impl Fn(P) -> String,
     value: impl FnOnce() -> String,
     what: &str,
 ) {
     match seen.entry(key) {
         hash_map::Entry::Occupied(first) => faults.push(Fault::text(
-            path,
+            path(place),
             value(),
-            format!("unique {what}; also at {}", first.get()),
+            format!("unique {what}; also at {}", path(*first.get())),
         )),
-        hash_map::Entry::Vacant(place) => {
-            place.insert(path);
+        hash_map::Entry::Vacant(entry) => {
+            entry.insert(place);
         }
     }
 }
@@ -71,20 +73,12 @@
 fn names<'a>(
     faults: &mut Vec<Fault>,
     path: &str,
-    names: impl Iterator<Item = &'a str>,
+    names: impl ExactSizeIterator<Item = &'a str>,
 ) -> HashMap<&'a str, usize> {
-    let mut seen = HashMap::new();
+    let mut seen = HashMap::with_capacity(names.len());
     for (index, name) in names.enumerate() {
-        match seen.entry(name) {
-            hash_map::Entry::Occupied(first) => faults.push(Fault::text(
-                format!("{path}/{index}/name"),
-                quote(name),
-                format!("unique name; also at {path}/{}/name", first.get()),
-            )),
-            hash_map::Entry::Vacant(place) => {
-                place.insert(index);
-            }
-        }
+        let path = |index| format!("{path}/{index}/name");
+        unique(&mut seen, faults, name, index, path, || quote(name), "name");
     }
     seen
 }
@@ -107,8 +101,11 @@
 
 fn upstreams(faults: &mut Vec<Fault>, text: &border::text::Text, zones: &HashMap<&str, usize>) {
     let mut addresses = HashMap::new();
-    for (index, service) in text.services.iter().enumerate() {
-        let base = format!("/services/{index}");
+    let address_path = |(service, upstream): (usize, usize)| {
+        format!("/services/{service}/upstreams/{upstream}/address")
+    };
+    for (number, service) in text.services.iter().enumerate() {
+        let base = format!("/services/{number}");
         if service.floor as usize > service.upstreams.len() {
             faults.push(Fault::text(
                 format!("{base}/floor"),
@@ -132,7 +129,6 @@
                 &upstream.availability_zone,
                 "an availability zone",
             );
-            let path = format!("{base}/upstreams/{index}/address");
             match address(&upstream.address) {
                 // The slots of an address belong to one service; a second one
                 // would grant them again.
@@ -140,12 +136,13 @@
                     &mut addresses,
                     faults,
                     address,
-                    path,
+                    (number, index),
+                    address_path,
                     || quote(&upstream.address),
                     "address",
                 ),
                 None => faults.push(Fault::text(
-                    path,
+                    address_path((number, index)),
                     quote(&upstream.address),
                     "IP address and port to connect to",
                 )),
@@ -223,12 +220,15 @@
     services: &HashMap<&str, usize>,
     classes: &HashMap<&str, usize>,
 ) {
-    let mut seen = HashMap::new();
+    let mut seen = HashMap::with_capacity(text.routes.len());
+    let path = |(route, method): (usize, Option<usize>)| match method {
+        Some(method) => format!("/routes/{route}/methods/{method}"),
+        None => format!("/routes/{route}"),
+    };
     for (index, route) in text.routes.iter().enumerate() {
-        let base = format!("/routes/{index}");
-        let service = || format!("{base}/service");
+        let service = || format!("/routes/{index}/service");
         known(faults, services, service, &route.service, "a service");
-        let class = || format!("{base}/class");
+        let class = || format!("/routes/{index}/class");
         known(faults, classes, class, &route.class, "a class");
 
         let host = route.host.as_deref();
@@ -243,16 +243,25 @@
                 &mut seen,
                 faults,
                 key,
-                base,
+                (index, None),
+                path,
                 || value("any method"),
                 "route",
             );
             continue;
         }
         for (position, method) in route.methods.iter().enumerate() {
-            let path = format!("{base}/methods/{position}");
             let key = (host, prefix, &**method);
-            unique(&mut seen, faults, key, path, || value(method), "route");
+            let place = (index, Some(position));
+            unique(
+                &mut seen,
+                faults,
+                key,
+                place,
+                path,
+                || value(method),
+                "route",
+            );
         }
     }
 }
--- a/crates/dotterelhinge/src/text/schema.rs
+++ b/crates/dotterelhinge/src/text/schema.rs
@@ -53,6 +53,11 @@
 /// Converts a document that passed its schema. The schema also accepts numbers
 /// such as `3.0` as integers, which the generated types refuse.
 pub(crate) fn convert<T: DeserializeOwned>(document: Value) -> Result<T, Fault> {
+    // Keeping track of the path slows the conversion of a large document down,
+    // so it is repeated for the path of a fault only.
+    if let Ok(converted) = T::deserialize(&document) {
+        return Ok(converted);
+    }
     serde_path_to_error::deserialize(document).map_err(|error| {
         let mut path = String::new();
         for segment in error.path() {
--- a/crates/dotterelhinge/tests/text_properties.rs
+++ b/crates/dotterelhinge/tests/text_properties.rs
@@ -110,20 +110,16 @@
         let _ = Text::from_gzip(&bytes);
     }
 
-    /// Guards against a daemon that cannot follow an edit by its delta.
+    /// Guards against a daemon that cannot follow an edit by its delta, and
+    /// against a hash that changes when a text is read again.
     #[test]
     fn a_delta_rebuilds_the_new_text(old in any_text(), new in any_text()) {
         let delta = text::delta(&old, &new);
         let applied = text::apply(&old, &delta, new.hash()).expect("own delta fits");
         prop_assert_eq!(applied.canonical(), new.canonical());
         prop_assert_eq!(applied.gzip(), new.gzip());
-    }
-
-    /// Guards against a hash that changes when a text is read again.
-    #[test]
-    fn canonical_json_is_a_fixed_point(text in any_text()) {
-        let again = Text::parse(&text.canonical()).expect("canonical JSON is valid");
-        prop_assert_eq!(again.hash(), text.hash());
+        let again = Text::parse(&new.canonical()).expect("canonical JSON is valid");
+        prop_assert_eq!(again.hash(), new.hash());
     }
 
     /// Guards against a hash table that finds other routes than a search of all.
