--- a/crates/dotterelhinge/src/admin.rs
+++ b/crates/dotterelhinge/src/admin.rs
@@ -23,7 +23,7 @@
 
 /// State of the admin server.
 #[derive(Clone)]
-pub struct Server {
+pub(crate) struct Server {
     /// Shared state of the daemon.
     pub context: Arc<context::Context>,
     /// The coordinators on this daemon.
@@ -127,7 +127,7 @@
 }
 
 /// Adds the paths of the admin port.
-pub fn configure(config: &mut web::ServiceConfig) {
+pub(crate) fn configure(config: &mut web::ServiceConfig) {
     config
         .route("/live", web::get().to(live))
         .route("/ready", web::get().to(ready))
--- a/crates/dotterelhinge/src/context.rs
+++ b/crates/dotterelhinge/src/context.rs
@@ -15,7 +15,7 @@
 use crate::{members, metrics, settings, text};
 
 /// A text in force.
-pub struct InForce {
+pub(crate) struct InForce {
     /// Version in the platform's table.
     pub version: u64,
     /// The text itself, as handed to other daemons.
@@ -26,7 +26,7 @@
 
 /// The last ejections that the coordinator of a service told.
 #[derive(Clone)]
-pub struct Standing {
+pub(crate) struct Standing {
     /// When they were received.
     pub received: Instant,
     /// Term of the coordinator.
@@ -36,7 +36,7 @@
 }
 
 /// State shared by the threads of a daemon.
-pub struct Context {
+pub(crate) struct Context {
     /// Settings of the process.
     pub settings: settings::Settings,
     /// The clock.
@@ -58,7 +58,7 @@
 
 impl Context {
     /// State of a daemon that has just started.
-    pub fn new(
+    pub(crate) fn new(
         settings: settings::Settings,
         clock: Arc<dyn clock::Clock>,
         metrics: metrics::Registry,
@@ -82,34 +82,34 @@
     }
 
     /// Whether a planned stop has begun.
-    pub fn stopping(&self) -> bool {
+    pub(crate) fn stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
     }
 
     /// Begins a planned stop; returns whether it had already begun.
-    pub fn stop(&self) -> bool {
+    pub(crate) fn stop(&self) -> bool {
         self.stopping.swap(true, Ordering::AcqRel)
     }
 
     /// Whether the process was paused and has not yet compared its version
     /// with a peer.
-    pub fn unchecked(&self) -> bool {
+    pub(crate) fn unchecked(&self) -> bool {
         self.unchecked.load(Ordering::Acquire)
     }
 
     /// Sets whether a comparison after a pause is due.
-    pub fn set_unchecked(&self, due: bool) {
+    pub(crate) fn set_unchecked(&self, due: bool) {
         self.unchecked.store(due, Ordering::Release);
     }
 
     /// Whether the balancer should send new callers here.
-    pub fn ready(&self) -> bool {
+    pub(crate) fn ready(&self) -> bool {
         !self.stopping() && !self.unchecked() && self.in_force.load().is_some()
     }
 
     /// Notes what the coordinator of `service` told, unless a later term told
     /// something before.
-    pub fn note_standing(&self, service: Arc<str>, term: u64, view: health::View) {
+    pub(crate) fn note_standing(&self, service: Arc<str>, term: u64, view: health::View) {
         let received = self.clock.now();
         let mut standings = lock(&self.standings);
         match standings.get(&service) {
@@ -128,13 +128,13 @@
     }
 
     /// The last standing of `service`.
-    pub fn standing(&self, service: &str) -> Option<Standing> {
+    pub(crate) fn standing(&self, service: &str) -> Option<Standing> {
         lock(&self.standings).get(service).cloned()
     }
 }
 
 /// Locks a mutex whose data stays sound if a holder panicked.
-pub fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex
         .lock()
         .unwrap_or_else(|poisoned| poisoned.into_inner())
--- a/crates/dotterelhinge/src/coordinator.rs
+++ b/crates/dotterelhinge/src/coordinator.rs
@@ -15,10 +15,10 @@
 
 /// An acquire is answered within this time, if only with `Queued`, so that a
 /// caller can tell a full service from a paused coordinator.
-pub const FIRST_ANSWER: Duration = Duration::from_millis(25);
+pub(crate) const FIRST_ANSWER: Duration = Duration::from_millis(25);
 
 /// An await is answered within this time.
-pub const NEXT_ANSWER: Duration = Duration::from_millis(250);
+pub(crate) const NEXT_ANSWER: Duration = Duration::from_millis(250);
 
 /// A ticket that nobody awaits for this long is abandoned.
 const TICKET_SILENCE: Duration = Duration::from_secs(1);
@@ -40,7 +40,7 @@
 }
 
 /// Coordinators of this daemon, by service.
-pub struct Actor {
+pub(crate) struct Actor {
     context: Arc<context::Context>,
     duties: HashMap<Arc<str>, Duty>,
     next_ticket: u64,
@@ -48,7 +48,7 @@
 
 impl Actor {
     /// An actor without duties; they begin with the first request.
-    pub fn new(context: Arc<context::Context>) -> Self {
+    pub(crate) fn new(context: Arc<context::Context>) -> Self {
         Self {
             context,
             duties: HashMap::new(),
@@ -263,7 +263,7 @@
 /// Asks for a slot.
 #[derive(Message)]
 #[rtype(result = "wire::Answer")]
-pub struct Acquire(pub wire::Acquire);
+pub(crate) struct Acquire(pub wire::Acquire);
 
 impl Handler<Acquire> for Actor {
     type Result = ResponseFuture<wire::Answer>;
@@ -305,7 +305,7 @@
 /// Goes on waiting for a slot.
 #[derive(Message)]
 #[rtype(result = "wire::Answer")]
-pub struct Await(pub wire::Await);
+pub(crate) struct Await(pub wire::Await);
 
 impl Handler<Await> for Actor {
     type Result = ResponseFuture<wire::Answer>;
@@ -318,7 +318,7 @@
 /// Takes what a holder of grants reports.
 #[derive(Message)]
 #[rtype(result = "wire::Receipt")]
-pub struct Report(pub wire::Report);
+pub(crate) struct Report(pub wire::Report);
 
 impl Handler<Report> for Actor {
     type Result = MessageResult<Report>;
@@ -445,7 +445,7 @@
 /// Asks for the state of every upstream that this daemon coordinates.
 #[derive(Message)]
 #[rtype(result = "Vec<serde_json::Value>")]
-pub struct Inspect;
+pub(crate) struct Inspect;
 
 impl Handler<Inspect> for Actor {
     type Result = MessageResult<Inspect>;
--- a/crates/dotterelhinge/src/entry/answer.rs
+++ b/crates/dotterelhinge/src/entry/answer.rs
@@ -124,7 +124,7 @@
 }
 
 /// Takes the answer of an attempt.
-pub async fn receive(
+pub(super) async fn receive(
     exchange: &Exchange,
     watch: watch::Watch,
     response: ClientResponse,
--- a/crates/dotterelhinge/src/entry/attempt.rs
+++ b/crates/dotterelhinge/src/entry/attempt.rs
@@ -14,7 +14,7 @@
 use crate::link;
 
 /// How an attempt ended.
-pub enum Ending {
+pub(super) enum Ending {
     /// With an answer for the caller, whole or streaming.
     Answered(HttpResponse),
     /// Without one.
@@ -28,7 +28,7 @@
 }
 
 /// An ending without an answer.
-pub fn failed(ended: retry::Ended) -> Ending {
+pub(super) fn failed(ended: retry::Ended) -> Ending {
     Ending::Failed {
         ended,
         answer: None,
@@ -37,7 +37,7 @@
 
 /// Runs one attempt. The slot is given back when the attempt ends, which for a
 /// streamed answer is when its last byte was passed on.
-pub async fn run(
+pub(super) async fn run(
     worker: &Rc<Worker>,
     exchange: &Exchange,
     slot: slot::Slot,
@@ -170,7 +170,7 @@
 }
 
 /// The ending of an attempt that is stuck.
-pub fn stalled(stall: watch::Stall, state: &link::State, watch: watch::Watch) -> Ending {
+pub(super) fn stalled(stall: watch::Stall, state: &link::State, watch: watch::Watch) -> Ending {
     use retry::{Ended, Kind};
 
     let (kind, seen) = match stall {
@@ -188,7 +188,7 @@
 }
 
 /// Evidence that an answer with `status` is.
-pub fn evidence(status: StatusCode) -> health::Outcome {
+pub(super) fn evidence(status: StatusCode) -> health::Outcome {
     match status.as_u16() {
         500.. => health::Outcome::Failed,
         400..=499 => health::Outcome::Neutral,
--- a/crates/dotterelhinge/src/entry/body.rs
+++ b/crates/dotterelhinge/src/entry/body.rs
@@ -31,11 +31,11 @@
 /// Invariant: unless `overflowed`, `kept` holds every byte taken from the
 /// caller so far.
 #[derive(Clone)]
-pub struct Body(Rc<RefCell<Inner>>);
+pub(super) struct Body(Rc<RefCell<Inner>>);
 
 /// Why a body ended before its end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Failure {
+pub(super) enum Failure {
     /// The caller's connection broke or sent garbage.
     Caller,
     /// The body is larger than the limit.
@@ -45,7 +45,7 @@
 impl Body {
     /// A body of which the first `keep` bytes can be replayed, `limit` bytes
     /// at most.
-    pub fn new(source: web::Payload, keep: usize, limit: u64, now: Instant) -> Self {
+    pub(super) fn new(source: web::Payload, keep: usize, limit: u64, now: Instant) -> Self {
         Self(Rc::new(RefCell::new(Inner {
             source: Some(source),
             kept: BytesMut::new(),
@@ -61,27 +61,27 @@
     }
 
     /// Whether another attempt can send the body from its start.
-    pub fn replayable(&self) -> bool {
+    pub(super) fn replayable(&self) -> bool {
         !self.0.borrow().overflowed
     }
 
     /// Whether the upstream could take more, but the caller sends nothing.
-    pub fn waits_for_caller(&self) -> bool {
+    pub(super) fn waits_for_caller(&self) -> bool {
         self.0.borrow().waiting
     }
 
     /// When a byte last moved from the caller.
-    pub fn moved(&self) -> Instant {
+    pub(super) fn moved(&self) -> Instant {
         self.0.borrow().moved
     }
 
     /// Whether all bytes have been taken from the caller.
-    pub fn finished(&self) -> bool {
+    pub(super) fn finished(&self) -> bool {
         self.0.borrow().finished
     }
 
     /// Why the body ended early, if it did.
-    pub fn failure(&self) -> Option<Failure> {
+    pub(super) fn failure(&self) -> Option<Failure> {
         let inner = self.0.borrow();
         if inner.total > inner.limit {
             Some(Failure::TooLarge)
@@ -92,7 +92,7 @@
 
     /// Reads until the body ends or `keep` bytes are held. A small body is
     /// whole before a slot is asked for, so that a slow caller holds none.
-    pub async fn fill(&self) -> Result<(), Failure> {
+    pub(super) async fn fill(&self) -> Result<(), Failure> {
         std::future::poll_fn(|cx| {
             loop {
                 {
@@ -114,7 +114,7 @@
     }
 
     /// A stream of the whole body for one attempt.
-    pub fn reader(&self) -> Reader {
+    pub(super) fn reader(&self) -> Reader {
         Reader {
             body: self.clone(),
             position: 0,
@@ -161,7 +161,7 @@
 }
 
 /// Stream of a [`Body`] for one attempt.
-pub struct Reader {
+pub(super) struct Reader {
     body: Body,
     position: usize,
 }
--- a/crates/dotterelhinge/src/entry/headers.rs
+++ b/crates/dotterelhinge/src/entry/headers.rs
@@ -3,16 +3,16 @@
 use actix_web::http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
 /// Request id, given if absent and echoed.
-pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+pub(super) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
 /// Time left for the request, in milliseconds.
-pub const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+pub(super) const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
 
 /// Key under which a caller repeats a request.
-pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+pub(super) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// Addresses that the request came through.
-pub const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
+pub(super) const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
 
 /// Longest accepted request id, in bytes.
 const REQUEST_ID_BYTES: usize = 128;
@@ -29,7 +29,7 @@
 ];
 
 /// Headers of `from` that may be passed on.
-pub fn end_to_end(from: &HeaderMap) -> impl Iterator<Item = (&HeaderName, &HeaderValue)> {
+pub(super) fn end_to_end(from: &HeaderMap) -> impl Iterator<Item = (&HeaderName, &HeaderValue)> {
     let named: Vec<String> = from
         .get_all(header::CONNECTION)
         .filter_map(|value| value.to_str().ok())
@@ -45,7 +45,7 @@
 
 /// The id of a request: the caller's if it is printable and short, otherwise a
 /// new one.
-pub fn request_id(headers: &HeaderMap) -> String {
+pub(super) fn request_id(headers: &HeaderMap) -> String {
     headers
         .get(REQUEST_ID)
         .and_then(|value| value.to_str().ok())
--- a/crates/dotterelhinge/src/entry/mod.rs
+++ b/crates/dotterelhinge/src/entry/mod.rs
@@ -31,7 +31,7 @@
 static NEXT_ATTEMPT: AtomicU64 = AtomicU64::new(1);
 
 /// What one worker thread needs to serve callers.
-pub struct Worker {
+pub(crate) struct Worker {
     context: Arc<context::Context>,
     coordinator: Addr<coordinator::Actor>,
     ledger: Addr<ledger::Actor>,
@@ -41,7 +41,7 @@
 
 impl Worker {
     /// State of a worker thread; must be made on that thread.
-    pub fn new(
+    pub(crate) fn new(
         context: Arc<context::Context>,
         coordinator: Addr<coordinator::Actor>,
         ledger: Addr<ledger::Actor>,
@@ -87,7 +87,7 @@
 }
 
 /// Serves one request of a caller.
-pub async fn serve(
+pub(crate) async fn serve(
     worker: web::Data<Rc<Worker>>,
     request: HttpRequest,
     payload: web::Payload,
--- a/crates/dotterelhinge/src/entry/own.rs
+++ b/crates/dotterelhinge/src/entry/own.rs
@@ -30,7 +30,7 @@
 }
 
 /// State of one worker thread.
-pub struct Own {
+pub(super) struct Own {
     services: HashMap<Arc<str>, Service>,
     passed_over: HashMap<Arc<str>, Instant>,
     rng: SmallRng,
@@ -48,21 +48,21 @@
 
 impl Own {
     /// Whether a coordinator failed a short while ago.
-    pub fn passes_over(&self, now: Instant, host: &str) -> bool {
+    pub(super) fn passes_over(&self, now: Instant, host: &str) -> bool {
         self.passed_over
             .get(host)
             .is_some_and(|since| now.duration_since(*since) < PASSED_OVER)
     }
 
     /// Notes that a coordinator did not answer.
-    pub fn pass_over(&mut self, now: Instant, host: Arc<str>) {
+    pub(super) fn pass_over(&mut self, now: Instant, host: Arc<str>) {
         self.passed_over.insert(host, now);
     }
 
     /// Upstreams to exclude from the next attempt: those already tried, and
     /// those that this thread can't reach unless they are half of the service,
     /// when the fault is more likely on this side.
-    pub fn excluded(
+    pub(super) fn excluded(
         &mut self,
         context: &context::Context,
         exchange: &Exchange,
@@ -80,7 +80,7 @@
     }
 
     /// Chooses an upstream without the coordinator.
-    pub fn pick(
+    pub(super) fn pick(
         &mut self,
         context: &context::Context,
         exchange: &Exchange,
@@ -112,7 +112,7 @@
 
     /// Takes the end of an attempt into account; `chosen` tells whether this
     /// thread had chosen the upstream.
-    pub fn settle(
+    pub(super) fn settle(
         &mut self,
         now: Instant,
         name: &Arc<str>,
--- a/crates/dotterelhinge/src/entry/problem.rs
+++ b/crates/dotterelhinge/src/entry/problem.rs
@@ -6,13 +6,13 @@
 use serde_json::json;
 
 /// Header with `not-run` or `unknown`.
-pub const OUTCOME_HEADER: &str = "dotterelhinge-outcome";
+pub(super) const OUTCOME_HEADER: &str = "dotterelhinge-outcome";
 
 /// Header with the request id on every answer.
-pub const REQUEST_ID_HEADER: &str = "dotterelhinge-request-id";
+pub(super) const REQUEST_ID_HEADER: &str = "dotterelhinge-request-id";
 
 /// The answer for a failed request.
-pub fn answer(kind: retry::Kind, outcome: retry::Outcome, request_id: &str) -> HttpResponse {
+pub(super) fn answer(kind: retry::Kind, outcome: retry::Outcome, request_id: &str) -> HttpResponse {
     let status = StatusCode::from_u16(kind.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut builder = HttpResponse::build(status);
     builder
--- a/crates/dotterelhinge/src/entry/slot.rs
+++ b/crates/dotterelhinge/src/entry/slot.rs
@@ -24,7 +24,7 @@
 
 /// The right to run one attempt on one upstream. Dropping it gives the slot
 /// back without evidence.
-pub struct Slot {
+pub(super) struct Slot {
     worker: Rc<Worker>,
     service: Arc<str>,
     upstream: contract::Upstream,
@@ -39,17 +39,17 @@
 
 impl Slot {
     /// Name of the upstream.
-    pub fn upstream(&self) -> &Arc<str> {
+    pub(super) fn upstream(&self) -> &Arc<str> {
         &self.upstream.name
     }
 
     /// Address of the upstream.
-    pub fn address(&self) -> std::net::SocketAddr {
+    pub(super) fn address(&self) -> std::net::SocketAddr {
         self.upstream.address
     }
 
     /// Reports that the attempt is slow.
-    pub fn overdue(&self, elapsed: Duration) {
+    pub(super) fn overdue(&self, elapsed: Duration) {
         if self.granted {
             self.worker.ledger.do_send(ledger::Overdue {
                 attempt: self.attempt,
@@ -59,7 +59,7 @@
     }
 
     /// Gives the slot back with evidence.
-    pub fn settle(mut self, outcome: health::Outcome, elapsed: Duration, draining: bool) {
+    pub(super) fn settle(mut self, outcome: health::Outcome, elapsed: Duration, draining: bool) {
         self.finish(outcome, elapsed, draining);
     }
 
@@ -94,7 +94,7 @@
 }
 
 /// Gets a slot for the next attempt of `exchange`.
-pub async fn acquire(worker: &Rc<Worker>, exchange: &Exchange) -> Result<Slot, placement::Refusal> {
+pub(super) async fn acquire(worker: &Rc<Worker>, exchange: &Exchange) -> Result<Slot, placement::Refusal> {
     if worker.context.settings.policy == settings::Policy::Fleet {
         let members = worker.context.members.load_full();
         if let Some(member) = members.coordinator(&exchange.service().name)
--- a/crates/dotterelhinge/src/entry/watch.rs
+++ b/crates/dotterelhinge/src/entry/watch.rs
@@ -15,7 +15,7 @@
 
 /// Why waiting for an upstream ended without an event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Stall {
+pub(super) enum Stall {
     /// The attempt used up its time.
     Limit,
     /// The upstream moved no byte for the progress timeout.
@@ -26,7 +26,7 @@
 
 /// A slot in use and the time spent on it. Dropping it gives the slot back
 /// without evidence, as when the caller goes away.
-pub struct Watch {
+pub(super) struct Watch {
     worker: Rc<Worker>,
     slot: slot::Slot,
     body: body::Body,
@@ -39,7 +39,7 @@
 
 impl Watch {
     /// Starts the time of an attempt.
-    pub fn new(
+    pub(super) fn new(
         worker: &Rc<Worker>,
         exchange: &Exchange,
         slot: slot::Slot,
@@ -60,12 +60,12 @@
     }
 
     /// When the attempt started.
-    pub fn started(&self) -> Instant {
+    pub(super) fn started(&self) -> Instant {
         self.started
     }
 
     /// Current reading of the clock.
-    pub fn now(&self) -> Instant {
+    pub(super) fn now(&self) -> Instant {
         self.worker.context.clock.now()
     }
 
@@ -82,18 +82,18 @@
 
     /// Whether a time limit that was reached speaks against the upstream. A
     /// caller's short deadline does not.
-    pub fn is_slow(&self) -> bool {
+    pub(super) fn is_slow(&self) -> bool {
         self.upload || self.elapsed() >= self.slot.slow_after
     }
 
     /// Gives the slot back with evidence.
-    pub fn settle(self, outcome: health::Outcome, draining: bool) {
+    pub(super) fn settle(self, outcome: health::Outcome, draining: bool) {
         let elapsed = self.elapsed();
         self.slot.settle(outcome, elapsed, draining);
     }
 
     /// Whether the attempt is stuck, if the last byte moved at `moved`.
-    pub fn stall(&self, moved: Instant) -> Option<Stall> {
+    pub(super) fn stall(&self, moved: Instant) -> Option<Stall> {
         let now = self.now();
         match self.limit {
             Some(limit) if now >= limit => return Some(Stall::Limit),
@@ -114,7 +114,7 @@
     }
 
     /// Time until [`Watch::stall`] should be asked again.
-    pub fn next(&self) -> Duration {
+    pub(super) fn next(&self) -> Duration {
         let now = self.now();
         let mut wait = PERIOD;
         if let Some(limit) = self.limit {
@@ -129,7 +129,7 @@
 
     /// Waits for `event` while the attempt is not stuck; `moved` tells when
     /// the last byte moved.
-    pub async fn until<T>(
+    pub(super) async fn until<T>(
         &self,
         event: impl Future<Output = T>,
         moved: impl Fn() -> Instant,
--- a/crates/dotterelhinge/src/events.rs
+++ b/crates/dotterelhinge/src/events.rs
@@ -3,7 +3,7 @@
 use dotterelhinge_policy::{contract, health::Change};
 
 /// Writes one line for a change, with its figures.
-pub fn health(service: &contract::Service, classes: &[contract::Class], change: &Change) {
+pub(crate) fn health(service: &contract::Service, classes: &[contract::Class], change: &Change) {
     let at = |upstream: usize| service.upstreams[upstream].name.to_string();
     let of = |class: usize| classes[class].name.to_string();
     let name = service.name.to_string();
--- a/crates/dotterelhinge/src/ledger.rs
+++ b/crates/dotterelhinge/src/ledger.rs
@@ -31,7 +31,7 @@
 
 /// A granted slot in use by an attempt.
 #[derive(Clone, Debug)]
-pub struct Held {
+pub(crate) struct Held {
     /// Host of the coordinator.
     pub coordinator: Arc<str>,
     /// Name of the service.
@@ -51,7 +51,7 @@
 /// Notes a grant that an attempt uses from now on.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct Hold {
+pub(crate) struct Hold {
     /// Number of the attempt, unique in this process.
     pub attempt: u64,
     /// The grant.
@@ -61,7 +61,7 @@
 /// An attempt is slow.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct Overdue {
+pub(crate) struct Overdue {
     /// Number of the attempt.
     pub attempt: u64,
     /// Time since its first byte.
@@ -71,7 +71,7 @@
 /// An attempt ended.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct Settle {
+pub(crate) struct Settle {
     /// Number of the attempt.
     pub attempt: u64,
     /// How it ended.
@@ -83,7 +83,7 @@
 }
 
 /// Grants in use, and what their coordinators have yet to hear.
-pub struct Actor {
+pub(crate) struct Actor {
     context: Arc<context::Context>,
     local: Addr<coordinator::Actor>,
     client: Option<peer::Client>,
@@ -95,7 +95,7 @@
 
 impl Actor {
     /// An empty ledger; `local` coordinates the services of this daemon.
-    pub fn new(context: Arc<context::Context>, local: Addr<coordinator::Actor>) -> Self {
+    pub(crate) fn new(context: Arc<context::Context>, local: Addr<coordinator::Actor>) -> Self {
         // Holders number inherited grants themselves, so the numbers of two
         // hosts must differ: 31 bits of the host's hash, then a counter.
         let salt = dotterelhinge_policy::rendezvous::weight("grant", &context.settings.host);
--- a/crates/dotterelhinge/src/link.rs
+++ b/crates/dotterelhinge/src/link.rs
@@ -26,7 +26,7 @@
 
 /// What is known about the connection of an attempt.
 #[derive(Debug, Default)]
-pub struct State {
+pub(crate) struct State {
     /// Whether the connection was open and handed to the HTTP client. From
     /// then on a byte of the request may have been sent.
     pub begun: Cell<bool>,
@@ -39,7 +39,7 @@
 /// A stream that notes when the upstream closes it. The HTTP client reports a
 /// body that is cut at the end of a read as finished; this tells the two apart.
 #[derive(Debug)]
-pub struct Stream {
+pub(crate) struct Stream {
     inner: TcpStream,
     state: Rc<State>,
 }
@@ -100,7 +100,7 @@
 /// start until `start_by`; the client checks this after the connection is open
 /// and immediately before the first byte, so that a process that was stopped
 /// in between doesn't send on a right that lapsed.
-pub fn client(
+pub(crate) fn client(
     address: SocketAddr,
     start_by: Instant,
     clock: Arc<dyn clock::Clock>,
--- a/crates/dotterelhinge/src/members.rs
+++ b/crates/dotterelhinge/src/members.rs
@@ -10,7 +10,7 @@
 
 /// One daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Member {
+pub(crate) struct Member {
     /// Host the daemon runs on.
     pub host: Arc<str>,
     /// Address of its peer port.
@@ -23,7 +23,7 @@
 
 /// The daemons that may take duties: alive and not leaving. Sorted by host.
 #[derive(Debug, Default)]
-pub struct List {
+pub(crate) struct List {
     members: Vec<Member>,
     // Ranking 3,800 members for each request would cost about 20 us, so the
     // result is kept until the list changes.
@@ -32,7 +32,7 @@
 
 impl List {
     /// A list of `members`.
-    pub fn new(mut members: Vec<Member>) -> Self {
+    pub(crate) fn new(mut members: Vec<Member>) -> Self {
         members.sort_by(|left, right| left.host.cmp(&right.host));
         Self {
             members,
@@ -41,12 +41,12 @@
     }
 
     /// All members.
-    pub fn members(&self) -> &[Member] {
+    pub(crate) fn members(&self) -> &[Member] {
         &self.members
     }
 
     /// The member that coordinates `service`.
-    pub fn coordinator(&self, service: &Arc<str>) -> Option<&Member> {
+    pub(crate) fn coordinator(&self, service: &Arc<str>) -> Option<&Member> {
         let known = {
             let coordinators = self.coordinators.read().unwrap_or_else(|p| p.into_inner());
             coordinators.get(service).copied()
--- a/crates/dotterelhinge/src/metrics.rs
+++ b/crates/dotterelhinge/src/metrics.rs
@@ -26,7 +26,7 @@
 
 /// Counters of control traffic and requests.
 #[derive(Debug, Default)]
-pub struct Counters {
+pub(crate) struct Counters {
     /// Requests taken in.
     pub requests: AtomicU64,
     /// Attempts that were handed to an upstream.
@@ -40,7 +40,7 @@
 }
 
 /// Metrics of one daemon.
-pub struct Registry {
+pub(crate) struct Registry {
     /// Plain counters.
     pub counters: Counters,
     classes: std::sync::Mutex<HashMap<Arc<str>, Histogram<u64>>>,
@@ -50,7 +50,7 @@
 
 impl Registry {
     /// Metrics that are also sent to `sink`, if there is one.
-    pub fn new(host: &str, sink: Option<SocketAddr>) -> std::io::Result<Self> {
+    pub(crate) fn new(host: &str, sink: Option<SocketAddr>) -> std::io::Result<Self> {
         let statsd = match sink {
             None => None,
             Some(address) => {
@@ -77,12 +77,12 @@
     }
 
     /// Adds `n` to a counter.
-    pub fn add(counter: &AtomicU64, n: u64) {
+    pub(crate) fn add(counter: &AtomicU64, n: u64) {
         counter.fetch_add(n, Ordering::Relaxed);
     }
 
     /// Records one finished request.
-    pub fn record(&self, class: &Arc<str>, customer: &Arc<str>, result: &str, taken: Duration) {
+    pub(crate) fn record(&self, class: &Arc<str>, customer: &Arc<str>, result: &str, taken: Duration) {
         let us = (taken.as_micros() as u64).clamp(1, LONGEST_US);
         record_in(&self.classes, class, usize::MAX, us);
         record_in(&self.customers, customer, CUSTOMERS, us);
@@ -96,14 +96,14 @@
     }
 
     /// Counts an event under a name.
-    pub fn event(&self, name: &str) {
+    pub(crate) fn event(&self, name: &str) {
         if let Some(statsd) = &self.statsd {
             let _ = statsd.count(name, 1);
         }
     }
 
     /// Copies of the histograms by class and by customer, in microseconds.
-    pub fn histograms(&self) -> [Vec<(Arc<str>, Histogram<u64>)>; 2] {
+    pub(crate) fn histograms(&self) -> [Vec<(Arc<str>, Histogram<u64>)>; 2] {
         [&self.classes, &self.customers].map(|map| {
             let map = map.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
             let mut list: Vec<_> = map
--- a/crates/dotterelhinge/src/peer.rs
+++ b/crates/dotterelhinge/src/peer.rs
@@ -18,7 +18,7 @@
 
 /// Why a message failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-pub enum Error {
+pub(crate) enum Error {
     /// No connection could be made, so nothing was delivered.
     #[error("the peer can't be reached")]
     Unreachable,
@@ -32,14 +32,14 @@
 
 /// Sends messages to other daemons from one thread.
 #[derive(Clone)]
-pub struct Client {
+pub(crate) struct Client {
     http: awc::Client,
     context: Arc<context::Context>,
 }
 
 impl Client {
     /// A client with connections of its own.
-    pub fn new(context: Arc<context::Context>) -> Self {
+    pub(crate) fn new(context: Arc<context::Context>) -> Self {
         let connector = awc::Connector::new()
             .limit(0)
             .timeout(Duration::from_millis(500))
@@ -56,7 +56,7 @@
     }
 
     /// Sends `message` and waits for the answer.
-    pub async fn post<M: Serialize, A: DeserializeOwned>(
+    pub(crate) async fn post<M: Serialize, A: DeserializeOwned>(
         &self,
         address: SocketAddr,
         path: &str,
@@ -131,7 +131,7 @@
 
 /// State of the peer server.
 #[derive(Clone)]
-pub struct Server {
+pub(crate) struct Server {
     /// Shared state of the daemon.
     pub context: Arc<context::Context>,
     /// The coordinators on this daemon.
@@ -190,7 +190,7 @@
 }
 
 /// Adds the paths of the peer port.
-pub fn configure(config: &mut web::ServiceConfig) {
+pub(crate) fn configure(config: &mut web::ServiceConfig) {
     config
         .app_data(web::PayloadConfig::new(LARGEST_BYTES))
         .route("/peer/v1/acquire", web::post().to(acquire))
--- a/crates/dotterelhinge/src/roster.rs
+++ b/crates/dotterelhinge/src/roster.rs
@@ -5,7 +5,7 @@
 use crate::{context, members, peer, platform, text};
 
 /// Polls the platform for the text and the seeds for their identity.
-pub async fn run(context: Arc<context::Context>) {
+pub(crate) async fn run(context: Arc<context::Context>) {
     let client = peer::Client::new(Arc::clone(&context));
     let platform = context.settings.platform.as_ref().map(|base| {
         platform::Client::new(
--- a/crates/dotterelhinge/src/wire.rs
+++ b/crates/dotterelhinge/src/wire.rs
@@ -16,11 +16,11 @@
 use smallvec::SmallVec;
 
 /// Content type of every message.
-pub const CONTENT_TYPE: &str = "application/msgpack";
+pub(crate) const CONTENT_TYPE: &str = "application/msgpack";
 
 /// Asks the coordinator of a service for a slot.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Acquire {
+pub(crate) struct Acquire {
     /// Name of the service.
     pub service: Arc<str>,
     /// Name of the request class.
@@ -41,7 +41,7 @@
 
 /// Goes on waiting for a slot after [`Answer::Queued`].
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Await {
+pub(crate) struct Await {
     /// Name of the service.
     pub service: Arc<str>,
     /// Ticket of the waiting request.
@@ -50,7 +50,7 @@
 
 /// A slot handed out.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Grant {
+pub(crate) struct Grant {
     /// Term of the coordinator.
     pub term: u64,
     /// Number of the grant within the term.
@@ -65,7 +65,7 @@
 
 /// Answer to [`Acquire`] and [`Await`].
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub enum Answer {
+pub(crate) enum Answer {
     /// A slot.
     Granted(Grant),
     /// No slot yet; ask again with the ticket.
@@ -81,7 +81,7 @@
 
 /// One thing that a holder of grants reports.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub enum Entry {
+pub(crate) enum Entry {
     /// An attempt ended.
     Settle {
         /// Name of the service.
@@ -143,7 +143,7 @@
 
 /// What a holder of grants tells a coordinator.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Report {
+pub(crate) struct Report {
     /// The holder.
     pub host: Arc<str>,
     /// The entries, in order.
@@ -152,7 +152,7 @@
 
 /// State of one service at its coordinator.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Standing {
+pub(crate) struct Standing {
     /// Name of the service.
     pub service: Arc<str>,
     /// Current term.
@@ -163,7 +163,7 @@
 
 /// Answer to [`Report`]: the state of each service that it renewed.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub struct Receipt {
+pub(crate) struct Receipt {
     /// One entry for each service.
     pub standings: Vec<Standing>,
 }
