--- a/crates/dotterelhinge/src/lib.rs
+++ b/crates/dotterelhinge/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod border;
 mod context;
 mod coordinator;
+pub mod ctl;
 pub mod daemon;
 mod entry;
 mod events;
