Add standin-caller and the check of its results

Cause: floor, at-most-once and own-answer requirements are proved from the outside: an open load, a judgement of every answer, and the backend's record.

Change: Poisson arrivals over ready targets, latency from the intended start, judgement by checksum, id, length and upload report, HdrHistogram V2 in base64, and check(record, results) with five kinds of findings.

Ruled out: sleeping on the runtime's timer for arrivals (1 ms resolution); a thread hands them out.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -34,6 +34,8 @@
 */
 
 pub mod backend;
+pub mod caller;
+pub mod check;
 pub mod client;
 pub mod http;
 pub mod platform;
