--- a/crates/policy/tests/detection.rs
+++ b/crates/policy/tests/detection.rs
@@ -141,6 +141,12 @@
     expect_that!(base(&[1.0, 0.0, 0.0, 1.0, 0.0, 0.0, 0.0, 0.0]), eq(0.01));
     expect_that!(base(&[0.05; 30]), near(0.05, 0.01));
     expect_that!(base(&[0.8; 30]), eq(0.15));
+    // One bad outcome of a quiet upstream is not a share of 1.
+    let now = Instant::now();
+    let mut quiet = channel(&settings, 1, now);
+    quiet.record(0, 0, true);
+    quiet.refresh(&settings, now);
+    expect_that!(quiet.base(), near(0.1, 0.01));
 }
 
 /// Guards against an alarm from a threshold that falls when traffic stops.
@@ -156,10 +162,25 @@
     channel.refresh(&settings, now);
     expect_that!(channel.evidence(0).0, ge(channel.threshold()));
     expect_that!(channel.alarm(&settings, 0, true), eq(false));
+    channel.record(0, 0, false);
+    expect_that!(channel.evidence(0).0, ge(channel.threshold()));
+    expect_that!(channel.alarm(&settings, 0, true), eq(false));
     channel.record(0, 2, true);
     expect_that!(channel.alarm(&settings, 0, true), eq(true));
 }
 
+/// Guards against an upstream that is ejected long after it has recovered,
+/// because the floor held while it failed.
+#[googletest::test]
+fn held_alarm_ends_after_ten_good_outcomes() {
+    let settings = fixed(1e6);
+    let mut channel = channel(&settings, 1, Instant::now());
+    (0..500).for_each(|n| channel.record(0, n % detection::GROUPS, true));
+    expect_that!(channel.alarm(&settings, 0, false), eq(true));
+    (0..10).for_each(|n| channel.record(0, n % detection::GROUPS, false));
+    expect_that!(channel.alarm(&settings, 0, false), eq(false));
+}
+
 /// Guards against a limit that is unusable before there is data, below the
 /// jitter of the network, above the deadline or lost in a quiet hour.
 #[googletest::test]
@@ -179,12 +200,12 @@
     expect_that!(limit(9000, 100), eq(10.0));
     let mut now = Instant::now();
     let mut latency = Latency::new(&class, now);
-    for (millis, count) in [(40, 1000), (400, 1000)] {
+    for (millis, count) in [(400, 1000), (40, 1000)] {
         (0..count).for_each(|_| latency.record(Duration::from_millis(millis)));
         for _ in 0..10 {
             now += Duration::from_secs(60);
             latency.refresh(now);
         }
     }
-    expect_that!(latency.limit().as_secs_f64(), near(1.2, 0.075));
+    expect_that!(latency.limit().as_secs_f64(), near(0.12, 0.0075));
 }
--- a/crates/policy/tests/health.rs
+++ b/crates/policy/tests/health.rs
@@ -199,7 +199,6 @@
 #[googletest::test]
 fn slow_upstream_is_ejected_and_a_slow_service_is_not() {
     let names: Vec<String> = (0..8).map(|n| format!("u{n}")).collect();
-    let mut run = Run::new(&names, 5);
     // Latencies vary by a tenth; an attempt that passes the limit is overdue.
     let serve = |run: &mut Run, seconds: usize, latency: [u64; 8]| {
         run.changes.clear();
@@ -217,9 +216,17 @@
             }
         }
     };
+    let slow = [40, 40, 400, 40, 40, 40, 40, 40];
+    // The floor keeps the slow upstream in service.
+    let mut run = Run::new(&names, 8);
+    serve(&mut run, 20, [40; 8]);
+    serve(&mut run, 60, slow);
+    expect_that!(run.health.slow_after(0).as_millis(), le(150));
+
+    let mut run = Run::new(&names, 5);
     serve(&mut run, 20, [40; 8]);
     expect_that!(run.changes, is_empty());
-    serve(&mut run, 4, [40, 40, 400, 40, 40, 40, 40, 40]);
+    serve(&mut run, 4, slow);
     expect_that!(
         run.changes,
         contains(starts_with("UpstreamEjected { upstream: 2"))
