policy: admit uploads by the time of their promotion

Cause: under orders beyond the capacity, the estimated wait counted all orders ahead of an upload, so that uploads with a short limit were all refused early. Ruled out: no estimate for uploads, since their own queue may be too long. Change: the estimate of an upload is at most half of its limit and the uploads ahead. A daemon that avoids every upstream names none of them. Conclusion: uploads are starved neither in the queue nor on arrival.

--- a/crates/policy/src/fallback.rs
+++ b/crates/policy/src/fallback.rs
@@ -201,14 +201,21 @@
         }
     }
 
-    /// Names of the upstreams that this daemon avoids.
+    /// Names of the upstreams that this daemon avoids. If it avoids all of
+    /// them, none is named: the fault is then more likely its own, and a
+    /// request that excludes every upstream would be refused.
     pub fn avoided(&self, now: Instant) -> retry::Excluded {
-        self.service
-            .upstreams
-            .iter()
-            .zip(&self.avoided_until)
-            .filter(|(_, until)| until.is_some_and(|until| now < until))
-            .map(|(upstream, _)| Arc::clone(&upstream.name))
+        let upstreams = &self.service.upstreams;
+        let avoided = |&i: &usize| self.avoided_until[i].is_some_and(|until| now < until);
+        if (0..upstreams.len())
+            .filter(|&i| !self.leaving[i])
+            .all(|i| avoided(&i))
+        {
+            return retry::Excluded::new();
+        }
+        (0..upstreams.len())
+            .filter(avoided)
+            .map(|i| Arc::clone(&upstreams[i].name))
             .collect()
     }
 }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -44,7 +44,9 @@
     /// Term of this coordinator. It is part of every grant's number, so that a
     /// grant of another term is never mistaken for one of this.
     pub term: u64,
-    /// Seed of the random choices.
+    /// Seed of the random choices and of the first grant's number. It should
+    /// differ between coordinators: two that believe in the same term then
+    /// number their grants differently.
     pub seed: u64,
     /// A grant of a holder silent for this long is released.
     pub holder_silence: Duration,
--- a/crates/policy/src/placement/coordinator/admission.rs
+++ b/crates/policy/src/placement/coordinator/admission.rs
@@ -1,6 +1,9 @@
 //! Requests for a slot: admission, queue and choice of an upstream.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use rand::RngExt;
 
@@ -14,6 +17,9 @@
     Coordinator,
 };
 
+/// Longer waits are cut to this one, so that no limit is beyond the clock.
+const MAX_WAIT: Duration = Duration::from_secs(24 * 60 * 60);
+
 impl Coordinator {
     pub(super) fn group(&self, acquire: &Acquire) -> Group {
         let names = acquire.excluded.iter();
@@ -31,7 +37,13 @@
         })
     }
 
-    pub(super) fn acquire(&mut self, now: Instant, acquire: Acquire, actions: &mut Vec<Action>) {
+    pub(super) fn acquire(
+        &mut self,
+        now: Instant,
+        mut acquire: Acquire,
+        actions: &mut Vec<Action>,
+    ) {
+        acquire.wait = acquire.wait.min(MAX_WAIT);
         // A repeated message must not be answered twice.
         if self.queue.contains(acquire.ticket) {
             return;
@@ -89,19 +101,28 @@
             return Some(Refusal::Overloaded);
         }
         let mean = self.service_time.mean()?;
-        let exceeds = |ahead: usize, slots: u32| {
-            slots > 0 && mean * (ahead + 1) as f64 / f64::from(slots) > acquire.wait.as_secs_f64()
+        let limit = acquire.wait.as_secs_f64();
+        let estimate = |ahead: usize, slots: u32| {
+            // Without an open slot there is no rate to estimate from.
+            (slots > 0).then(|| mean * (ahead + 1) as f64 / f64::from(slots))
         };
         // Alone in the queue, a customer may use the slots of all.
         if self.queue.len() > own
-            && let Some(limit) = self.accounts.limit(&acquire.customer)
-            && exceeds(own, limit)
+            && let Some(share) = self.accounts.limit(&acquire.customer)
+            && estimate(own, share)? > limit
         {
             return Some(Refusal::CustomerLimit);
         }
-        let priority = self.classes[acquire.class].priority;
-        let ahead = self.queue.ahead(priority, now + acquire.wait);
-        exceeds(ahead, self.pool.open()).then_some(Refusal::Overloaded)
+        let class = &self.classes[acquire.class];
+        let (higher, same) = self.queue.ahead(class.priority, now + acquire.wait);
+        let open = self.pool.open();
+        let mut wait = estimate(higher + same, open)?;
+        if class.upload {
+            // Promotion puts it before the higher priorities after half of its
+            // limit, so these alone are no reason to refuse it.
+            wait = wait.min(limit / 2.0 + estimate(same, open)?);
+        }
+        (wait > limit).then_some(Refusal::Overloaded)
     }
 
     pub(super) fn choose(
--- a/crates/policy/src/placement/queue.rs
+++ b/crates/policy/src/placement/queue.rs
@@ -185,19 +185,19 @@
     }
 
     /// Waiting requests that a new one goes behind, to the width of a finer
-    /// bucket.
-    pub(super) fn ahead(&self, priority: u8, limit: Instant) -> usize {
+    /// bucket: those of a higher priority, and those of its own.
+    pub(super) fn ahead(&self, priority: u8, limit: Instant) -> (usize, usize) {
         let bucket = self.bucket(limit);
+        let coarse = bucket / COARSE;
         let sum = |counts: &BTreeMap<(u8, u64), usize>, from, to| {
             counts
-                .range(from..=to)
+                .range((priority, from)..(priority, to))
                 .map(|(_, count)| *count)
                 .sum::<usize>()
         };
-        let coarse = bucket / COARSE;
-        let before = sum(&self.coarse, (0, 0), (priority, coarse))
-            - self.coarse.get(&(priority, coarse)).unwrap_or(&0);
-        before + sum(&self.fine, (priority, coarse * COARSE), (priority, bucket))
+        let own = sum(&self.coarse, 0, coarse) + sum(&self.fine, coarse * COARSE, bucket + 1);
+        let higher = self.coarse.range(..(priority, 0)).map(|(_, count)| *count);
+        (higher.sum(), own)
     }
 
     /// Moves the heads of `customer` to where its use of slots puts them.
--- a/crates/policy/tests/coordinator.rs
+++ b/crates/policy/tests/coordinator.rs
@@ -202,10 +202,18 @@
     expect_that!(coordinator.in_use()[0], all!(gt(255), lt(345)));
 }
 
-/// Guards against uploads that never run while requests of a higher priority
-/// exceed the capacity.
+/// Guards against uploads that never run, or are all refused early, while
+/// requests of a higher priority exceed the capacity.
 #[googletest::test]
 fn uploads_are_not_starved() {
+    for wait in [600, 4000] {
+        let (uploads, served) = uploads_served(wait);
+        expect_that!(served, eq(uploads), "wait {wait} ms");
+    }
+}
+
+/// Uploads that asked for a slot, and those that got one.
+fn uploads_served(wait: u32) -> (u64, u64) {
     let start = Instant::now();
     let mut coordinator = coordinator([("a", "z1", 3)], &[], start);
     let mut running: Vec<(u32, u64)> = Vec::new();
@@ -231,7 +239,7 @@
             uploads += 1;
             let wanted = support::Wanted {
                 class: "upload".into(),
-                wait: 4000,
+                wait,
                 ..support::wanted(u64::from(at) * 2 + 1)
             };
             actions.extend(coordinator.handle(now, Event::Acquire(acquire(&wanted))));
@@ -244,7 +252,7 @@
             }
         }
     }
-    expect_that!(served, eq(uploads));
+    (uploads, served)
 }
 
 /// Guards against retries that multiply the load when every upstream fails.
--- a/crates/policy/tests/fallback.rs
+++ b/crates/policy/tests/fallback.rs
@@ -124,6 +124,7 @@
     expect_that!(picked(&mut fallback, after, "z1", &[]), eq("ab"));
     expect_that!(fallback.avoided(after).len(), eq(0));
     (0..4).for_each(|upstream| fallback.avoid(now, upstream));
+    expect_that!(fallback.avoided(now).len(), eq(0));
     expect_that!(picked(&mut fallback, now, "z1", &[]), eq("abcd"));
 }
 
