--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -56,7 +56,8 @@
     /// released. A younger one may still be on its way to the host.
     pub unlisted_after: Duration,
     /// An upstream with this suspicion is chosen only if no other has a free
-    /// slot. The default is the lowest threshold of ejection, ln 100.
+    /// slot. Suspicion is relative to the threshold of ejection; half of it is
+    /// about two failures in a row, which a healthy upstream seldom shows.
     pub avoid_suspicion: f64,
     /// Share of the grants of repeatable classes that prefer the avoided
     /// upstreams. Without any work an upstream could never clear itself.
@@ -79,7 +80,7 @@
             holder_silence: Duration::from_secs(5),
             start_within: Duration::from_secs(1),
             unlisted_after: Duration::from_secs(1),
-            avoid_suspicion: 4.6,
+            avoid_suspicion: 0.5,
             explore: 1.0 / 16.0,
             queue: 10_000,
             customer_queue: 1_000,
--- /dev/null
+++ b/crates/policy/tests/coordinator_properties.rs
@@ -0,0 +1,263 @@
+//! Slots, tickets, shares and priorities under random sequences of events.
+
+mod support;
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use dotterelhinge_policy::{
+    health,
+    placement::{Action, Event},
+};
+use googletest::prelude::*;
+use proptest::{prelude::Strategy, prop_assert, prop_assert_eq, prop_oneof, test_runner};
+use support::{acquire, classes, config, coordinator, service};
+
+const MS: Duration = Duration::from_millis(1);
+
+#[derive(Clone, Debug)]
+enum Move {
+    Acquire(support::Wanted),
+    Settle(usize, usize),
+    Abandon(usize),
+    Overdue(usize),
+    Renew(u8, bool),
+    Gone(u8),
+    Leaving(u8),
+    Inherit(u8, u8),
+    Configure(bool),
+    Tick,
+}
+
+fn moves() -> impl Strategy<Value = Vec<(u32, Move)>> {
+    let wanted = (0..3_usize, 0..4_u8, 0..4_u8, 0..1500_u32, 1..4_u32, 0..8_u8).prop_map(
+        |(class, customer, host, wait, attempt, excluded)| support::Wanted {
+            ticket: 0,
+            class: ["lookup", "order", "upload"][class].into(),
+            customer: format!("customer-{customer}").into(),
+            host: format!("h{host}").into(),
+            zone: format!("z{}", host % 2 + 1).into(),
+            wait,
+            attempt,
+            excluded: (0..3)
+                .filter(|bit| excluded >> bit & 1 == 1 && wait % 3 == 0)
+                .map(|bit| ["a", "b", "c"][bit].into())
+                .collect(),
+        },
+    );
+    let step = prop_oneof![
+        30 => wanted.prop_map(Move::Acquire),
+        25 => (0..64_usize, 0..5_usize).prop_map(|(pick, outcome)| Move::Settle(pick, outcome)),
+        3 => (0..64_usize).prop_map(Move::Abandon),
+        3 => (0..64_usize).prop_map(Move::Overdue),
+        6 => (0..4_u8, proptest::bool::ANY).prop_map(|(host, all)| Move::Renew(host, all)),
+        1 => (0..4_u8).prop_map(Move::Gone),
+        1 => (0..30_u8).prop_map(Move::Leaving),
+        1 => (0..4_u8, 0..3_u8).prop_map(|(host, upstream)| Move::Inherit(host, upstream)),
+        1 => proptest::bool::ANY.prop_map(Move::Configure),
+        4 => proptest::strategy::Just(Move::Tick),
+    ];
+    proptest::collection::vec((0..400_u32, step), 1..250)
+}
+
+/// Guards against a slot handed out twice, a slot lost for good and a request
+/// that is answered twice or never, under any sequence of events.
+#[googletest::test]
+fn slots_and_tickets_are_kept_account_of() {
+    let mut runner = test_runner::TestRunner::new(config());
+    let outcome = runner.run(&moves(), |moves| {
+        let start = Instant::now();
+        let all = [("a", "z1", 2), ("b", "z1", 1), ("c", "z2", 3)];
+        let shares = [("customer-0", 0.5), ("customer-1", 0.2)];
+        let mut coordinator = coordinator(all, &shares, start);
+        let mut slots = vec![2, 1, 3];
+        let mut inherited = vec![0; 3];
+        let mut waiting: Vec<u64> = Vec::new();
+        let mut grants: Vec<(u64, String)> = Vec::new();
+        let mut now = start;
+        for (ticket, (pause, change)) in moves.into_iter().enumerate() {
+            now += MS * pause;
+            let ticket = ticket as u64;
+            let grant = |pick: usize| grants.get(pick % grants.len().max(1)).cloned();
+            let actions = match change {
+                Move::Acquire(wanted) => {
+                    waiting.push(ticket);
+                    let wanted = support::Wanted { ticket, ..wanted };
+                    coordinator.handle(now, Event::Acquire(acquire(&wanted)))
+                }
+                Move::Settle(pick, outcome) => {
+                    let Some((grant, _)) = grant(pick) else {
+                        continue;
+                    };
+                    grants.retain(|(id, _)| *id != grant);
+                    let outcome = [
+                        health::Outcome::Good,
+                        health::Outcome::Failed,
+                        health::Outcome::ConnectFailed,
+                        health::Outcome::Shed,
+                        health::Outcome::Neutral,
+                    ][outcome];
+                    let elapsed = MS * pause;
+                    let event = Event::Settle {
+                        grant,
+                        outcome,
+                        elapsed,
+                    };
+                    coordinator.handle(now, event)
+                }
+                Move::Abandon(pick) => {
+                    let Some(&ticket) = waiting.get(pick % waiting.len().max(1)) else {
+                        continue;
+                    };
+                    waiting.retain(|other| *other != ticket);
+                    coordinator.handle(now, Event::Abandon(ticket))
+                }
+                Move::Overdue(pick) => {
+                    let Some((grant, _)) = grant(pick) else {
+                        continue;
+                    };
+                    let elapsed = MS * 1000;
+                    coordinator.handle(now, Event::Overdue { grant, elapsed })
+                }
+                Move::Renew(host, all) => {
+                    let host: Arc<str> = format!("h{host}").into();
+                    grants.retain(|(id, holder)| **holder != *host || all || id % 2 == 0);
+                    let held = grants.iter().filter(|(_, holder)| **holder == *host);
+                    let held = held.map(|(id, _)| *id).collect();
+                    coordinator.handle(now, Event::Renew { host, grants: held })
+                }
+                Move::Gone(host) => {
+                    coordinator.handle(now, Event::HostGone(format!("h{host}").into()))
+                }
+                Move::Leaving(upstream) => {
+                    let name = ["a", "b", "c"].get(usize::from(upstream));
+                    let name = name.copied().unwrap_or("removed");
+                    coordinator.handle(now, Event::Leaving(name.into()))
+                }
+                Move::Inherit(host, upstream) => {
+                    let upstream = usize::from(upstream);
+                    inherited[upstream] += 1;
+                    grants.push((ticket, format!("h{host}")));
+                    let event = Event::Inherit {
+                        host: format!("h{host}").into(),
+                        upstream: all[upstream].0.into(),
+                        class: 1,
+                        customer: "customer-0".into(),
+                        grant: ticket,
+                    };
+                    coordinator.handle(now, event)
+                }
+                Move::Configure(fewer) => {
+                    // Grants of an earlier text may exceed the new slots.
+                    inherited = slots.iter().zip(&inherited).map(|(s, i)| s + i).collect();
+                    slots = vec![if fewer { 1 } else { 2 }, 1, 3];
+                    let changed = [("a", "z1", slots[0]), ("b", "z1", 1), ("c", "z2", 3)];
+                    let shares = Arc::new(support::shares(&shares));
+                    coordinator.configure(now, service(changed), classes(), shares)
+                }
+                Move::Tick => coordinator.handle(now, Event::Tick),
+            };
+            for action in actions {
+                let (Action::Grant { ticket, .. } | Action::Refuse { ticket, .. }) = action else {
+                    continue;
+                };
+                prop_assert!(waiting.contains(&ticket), "{ticket} answered twice");
+                waiting.retain(|other| *other != ticket);
+                if let Action::Grant { grant, .. } = action {
+                    grants.push((grant, format!("h{}", grant % 4)));
+                }
+            }
+            prop_assert_eq!(coordinator.queued(), waiting.len());
+            let in_use = coordinator.in_use();
+            prop_assert_eq!(in_use.iter().sum::<u32>() as usize, coordinator.granted());
+            for upstream in 0..3 {
+                prop_assert!(in_use[upstream] <= slots[upstream] + inherited[upstream]);
+            }
+        }
+        // All holders vanish; the wakes alone must bring everything back.
+        let end = now + MS * 12_000;
+        while let Some(wake) = coordinator.next_wake().filter(|wake| *wake <= end) {
+            for action in coordinator.handle(wake.max(now), Event::Tick) {
+                if let Action::Grant { ticket, .. } | Action::Refuse { ticket, .. } = action {
+                    prop_assert!(waiting.contains(&ticket), "{ticket} answered twice");
+                    waiting.retain(|other| *other != ticket);
+                }
+            }
+            let again = coordinator.next_wake();
+            prop_assert!(
+                again.is_none_or(|next| next > wake),
+                "wakes without progress"
+            );
+        }
+        prop_assert!(waiting.is_empty(), "never answered: {waiting:?}");
+        prop_assert_eq!(coordinator.in_use(), &[0, 0, 0]);
+        prop_assert_eq!(coordinator.granted(), 0);
+        Ok(())
+    });
+    expect_that!(outcome, ok(anything()));
+}
+
+/// Guards against a customer that takes the slots of the others, against a
+/// lower priority that goes first and against slots left idle while requests
+/// wait.
+#[googletest::test]
+fn shares_and_priorities_hold_under_any_load() {
+    let arrival = (0..3_usize, proptest::bool::ANY, 0..6_usize);
+    let load = proptest::collection::vec(arrival, 50..300);
+    let mut runner = test_runner::TestRunner::new(config());
+    let outcome = runner.run(&load, |load| {
+        let start = Instant::now();
+        let shares = [("customer-0", 0.5), ("customer-1", 0.34)];
+        let limits = [3, 2, u32::MAX];
+        let mut coordinator = coordinator([("a", "z1", 3), ("b", "z1", 3)], &shares, start);
+        let mut waiting: HashMap<u64, (usize, bool)> = HashMap::new();
+        let mut held: Vec<(u64, usize)> = Vec::new();
+        for (ticket, (customer, order, settles)) in load.into_iter().enumerate() {
+            let ticket = ticket as u64;
+            let wanted = support::Wanted {
+                customer: format!("customer-{customer}").into(),
+                class: if order { "order" } else { "lookup" }.into(),
+                ..support::wanted(ticket)
+            };
+            waiting.insert(ticket, (customer, order));
+            let mut events = vec![Event::Acquire(acquire(&wanted))];
+            let ended: Vec<(u64, usize)> = held.drain(..settles.min(held.len()) / 2).collect();
+            events.extend(ended.iter().map(|(grant, _)| support::good(*grant)));
+            let mut settled = ended.into_iter();
+            for (position, event) in events.into_iter().enumerate() {
+                let freed = (position > 0).then(|| settled.next()).flatten();
+                let running = |customer: usize, held: &[(u64, usize)], rest: &[(u64, usize)]| {
+                    held.iter().chain(rest).filter(|h| h.1 == customer).count() as u32
+                };
+                for action in coordinator.handle(start, event) {
+                    let (Action::Grant { ticket, .. } | Action::Refuse { ticket, .. }) = action
+                    else {
+                        continue;
+                    };
+                    let (customer, order) = waiting.remove(&ticket).unwrap_or((9, false));
+                    let Action::Grant { grant, .. } = action else {
+                        continue;
+                    };
+                    let rest = settled.as_slice();
+                    let below = |other: usize| running(other, &held, rest) < limits[other];
+                    if freed.is_some() {
+                        let entitled = waiting.values().filter(|(other, _)| below(*other));
+                        if below(customer) {
+                            prop_assert!(order || entitled.clone().all(|(_, order)| !order));
+                        } else {
+                            prop_assert_eq!(entitled.count(), 0, "over the share");
+                        }
+                    }
+                    held.push((grant, customer));
+                }
+                let used: u32 = coordinator.in_use().iter().sum();
+                prop_assert!(used == 6 || coordinator.queued() == 0, "idle slots");
+            }
+        }
+        Ok(())
+    });
+    expect_that!(outcome, ok(anything()));
+}
