policy: treat every change of health alike

Cause: the coordinator matched each kind of change to find the upstream, which fails for changes that concern a whole upstream, and did not refuse waiting requests when the health itself found an upstream leaving. Change: any change enters all upstreams anew. Ticks are asked for while attempts run, since the health repeats judgements on a tick.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -68,7 +68,8 @@
     pub customer_queue: usize,
     /// Half-life of the service times that estimate the wait.
     pub half_life: Duration,
-    /// Time between ticks while the health of an upstream is being restored.
+    /// Time between ticks while attempts run or the health of an upstream is
+    /// being restored.
     pub health_tick: Duration,
 }
 
--- a/crates/policy/src/placement/coordinator.rs
+++ b/crates/policy/src/placement/coordinator.rs
@@ -148,9 +148,10 @@
 
     /// Time by which the next [`Event::Tick`] is due, if nothing else happens.
     pub fn next_wake(&self) -> Option<Instant> {
-        let health = self
-            .reduced
-            .then(|| self.ticked + self.settings.health_tick);
+        // Without grants there is no evidence, and without reduced slots there
+        // is nothing to restore.
+        let judged = self.reduced || self.grants.len() > 0;
+        let health = judged.then(|| self.ticked + self.settings.health_tick);
         [self.queue.next_wake(), self.grants.next_wake(), health]
             .into_iter()
             .flatten()
@@ -202,10 +203,7 @@
             Event::Leaving(name) => {
                 if let Some(&upstream) = self.names.get(&name) {
                     let changes = self.health.mark_leaving(upstream);
-                    self.leaving[upstream] = true;
-                    self.refresh(now, upstream);
                     self.take_changes(now, changes, &mut actions);
-                    self.refuse_impossible(&mut actions);
                 }
             }
             Event::Tick => {
@@ -229,18 +227,14 @@
         changes: Vec<health::Change>,
         actions: &mut Vec<Action>,
     ) {
-        for change in changes {
-            let (health::Change::Ejected { upstream, .. }
-            | health::Change::FloorHeld { upstream, .. }
-            | health::Change::Trial { upstream, .. }
-            | health::Change::Readmitted { upstream, .. }
-            | health::Change::Leaving { upstream }) = change;
-            if matches!(change, health::Change::Leaving { .. }) {
-                self.leaving[upstream] = true;
-            }
-            self.refresh(now, upstream);
-            actions.push(Action::Log(change));
+        // A change may concern one class or all, so all are entered anew;
+        // changes are rare.
+        if !changes.is_empty() {
+            self.index();
+            self.refresh_all(now);
+            self.refuse_impossible(actions);
         }
+        actions.extend(changes.into_iter().map(Action::Log));
     }
 
     fn refresh(&mut self, now: Instant, upstream: usize) {
--- a/crates/policy/src/placement/coordinator/adoption.rs
+++ b/crates/policy/src/placement/coordinator/adoption.rs
@@ -34,7 +34,8 @@
         for id in self.grants.on(|upstream| upstream_of[upstream].is_none()) {
             self.release(now, id);
         }
-        self.rebuild_health(now, &service, &classes);
+        let changes = self.rebuild_health(now, &service, &classes);
+        actions.extend(changes.into_iter().map(Action::Log));
         let avoid = self.settings.avoid_suspicion;
         let mut pool = Pool::new(&service, classes.len(), avoid);
         for class in self
@@ -84,15 +85,16 @@
         actions
     }
 
-    /// The one place that replaces the health on a new text.
+    /// The one place that puts a new text into the health.
     pub(super) fn rebuild_health(
         &mut self,
         now: Instant,
         service: &Arc<contract::Service>,
         classes: &Arc<[contract::Class]>,
-    ) {
+    ) -> Vec<health::Change> {
         let view = self.health.view();
         self.health = health::Health::new(Arc::clone(service), Arc::clone(classes), &view, now);
+        Vec::new()
     }
 
     /// Enters the names and the leaving upstreams of the text in force.
