policy: never grant a number that was inherited

Cause: a grant under the number of an inherited one would replace it, and its slot would be lost; the numbers differ by term and random start only. Change: such numbers are passed over.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -16,7 +16,8 @@
 //! O(log n) for each requested class, and as much for each set of excluded
 //! upstreams that must be passed over in the queue. A tick, a change of health
 //! and a new configuration cost a pass over the upstreams and, if the number of
-//! open slots changes, over the waiting customers.
+//! open slots changes, over the waiting customers. The loss of a host costs a
+//! pass over the waiting requests.
 
 mod coordinator;
 mod customer;
--- a/crates/policy/src/placement/coordinator/admission.rs
+++ b/crates/policy/src/placement/coordinator/admission.rs
@@ -66,8 +66,8 @@
         if acquire.attempt > 1 && !self.budget.take() {
             return self.refuse(&acquire, Refusal::Budget, false, actions);
         }
-        // No waiting request could take a slot that is free now, so a new one
-        // passes nobody by when it does.
+        // No waiting request can take a slot that is free now, so a grant to a
+        // new one keeps the order of the queue.
         if let Some(upstream) = self.choose(now, &acquire, &group) {
             return self.grant(now, &acquire, upstream, actions);
         }
@@ -156,6 +156,11 @@
         upstream: usize,
         actions: &mut Vec<Action>,
     ) {
+        // A grant of another coordinator may have been inherited under the next
+        // number.
+        while self.grants.get(self.next).is_some() {
+            self.next += 1;
+        }
         let id = self.next;
         self.next += 1;
         actions.push(Action::Grant {
--- a/crates/policy/src/placement/queue.rs
+++ b/crates/policy/src/placement/queue.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct Place {
     /// `false` for an upload that waited over half of its limit.
-    patient: bool,
+    unpromoted: bool,
     priority: u8,
     limit: Instant,
     ticket: Ticket,
@@ -41,7 +41,7 @@
 impl Waiting {
     fn place(&self) -> Place {
         Place {
-            patient: !self.promoted,
+            unpromoted: !self.promoted,
             priority: self.priority,
             limit: self.limit,
             ticket: self.acquire.ticket,
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -215,7 +215,7 @@
     attempts: u32,
     excluded: Excluded,
     /// Kind of the last attempt that may have run the request.
-    doubt: Option<Kind>,
+    maybe_run: Option<Kind>,
     last: Option<Kind>,
 }
 
@@ -223,10 +223,10 @@
     /// An attempt that may have run decides both kind and outcome, so that the
     /// caller never reads a kind of the not-run half of the table for it.
     fn fail(&self, kind: Kind) -> Decision {
-        let (kind, outcome) = match (kind, self.doubt) {
+        let (kind, outcome) = match (kind, self.maybe_run) {
             (Kind::Deadline, Some(_)) => (kind, Outcome::Unknown),
             (Kind::Deadline, None) => (kind, Outcome::NotRun),
-            (_, Some(doubt)) => (doubt, Outcome::Unknown),
+            (_, Some(kind)) => (kind, Outcome::Unknown),
             (_, None) => (kind, kind.outcome()),
         };
         Decision::Fail { kind, outcome }
@@ -245,7 +245,7 @@
             limit: class.attempts,
             attempts: 0,
             excluded: Excluded::new(),
-            doubt: None,
+            maybe_run: None,
             last: None,
         })
     }
@@ -288,7 +288,7 @@
             Ended::Answered => return Decision::Deliver,
             Ended::NotRun(kind) => (kind, true),
             Ended::Unknown(kind) => {
-                history.doubt = Some(kind);
+                history.maybe_run = Some(kind);
                 (kind, history.repeatable)
             }
         };
--- a/crates/policy/tests/coordinator.rs
+++ b/crates/policy/tests/coordinator.rs
@@ -187,6 +187,34 @@
     expect_that!(numbers.len(), eq(12));
 }
 
+/// Guards against a grant that replaces an inherited one of the same number,
+/// whose slot would never be free again.
+#[googletest::test]
+fn an_inherited_number_is_not_granted_again() {
+    let start = Instant::now();
+    let mut coordinator = coordinator([("a", "z1", 3)], &[], start);
+    let mut grant = |ticket| {
+        let event = Event::Acquire(acquire(&support::wanted(ticket)));
+        match coordinator.handle(start, event)[..] {
+            [Action::Grant { grant, .. }] => grant,
+            ref other => panic!("no grant: {other:?}"),
+        }
+    };
+    let first = grant(1);
+    let event = Event::Inherit {
+        host: "h2".into(),
+        upstream: "a".into(),
+        class: 0,
+        customer: "anyone".into(),
+        grant: first + 1,
+    };
+    coordinator.handle(start, event);
+    let event = Event::Acquire(acquire(&support::wanted(2)));
+    coordinator.handle(start, event);
+    expect_that!(coordinator.granted(), eq(3));
+    expect_that!(coordinator.in_use(), eq(&[3]));
+}
+
 /// Guards against spill that sends everything to one zone while another has
 /// more free slots.
 #[googletest::test]
