--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -16,7 +16,8 @@
 //! O(log n) for each requested class, and as much for each set of excluded
 //! upstreams that must be passed over in the queue. A tick, a change of health
 //! and a new configuration cost a pass over the upstreams and, if the number of
-//! open slots changes, over the waiting customers.
+//! open slots changes, over the waiting customers. The loss of a host costs a
+//! pass over the waiting requests.
 
 mod coordinator;
 mod customer;
@@ -44,7 +45,9 @@
     /// Term of this coordinator. It is part of every grant's number, so that a
     /// grant of another term is never mistaken for one of this.
     pub term: u64,
-    /// Seed of the random choices.
+    /// Seed of the random choices and of the first grant's number. It should
+    /// differ between coordinators: two that believe in the same term then
+    /// number their grants differently.
     pub seed: u64,
     /// A grant of a holder silent for this long is released.
     pub holder_silence: Duration,
@@ -54,7 +57,8 @@
     /// released. A younger one may still be on its way to the host.
     pub unlisted_after: Duration,
     /// An upstream with this suspicion is chosen only if no other has a free
-    /// slot. The default is the lowest threshold of ejection, ln 100.
+    /// slot. Suspicion is relative to the threshold of ejection; half of it is
+    /// about two failures in a row, which a healthy upstream seldom shows.
     pub avoid_suspicion: f64,
     /// Share of the grants of repeatable classes that prefer the avoided
     /// upstreams. Without any work an upstream could never clear itself.
@@ -65,7 +69,8 @@
     pub customer_queue: usize,
     /// Half-life of the service times that estimate the wait.
     pub half_life: Duration,
-    /// Time between ticks while the health of an upstream is being restored.
+    /// Time between ticks while attempts run or the health of an upstream is
+    /// being restored.
     pub health_tick: Duration,
 }
 
@@ -77,7 +82,7 @@
             holder_silence: Duration::from_secs(5),
             start_within: Duration::from_secs(1),
             unlisted_after: Duration::from_secs(1),
-            avoid_suspicion: 4.6,
+            avoid_suspicion: 0.5,
             explore: 1.0 / 16.0,
             queue: 10_000,
             customer_queue: 1_000,
