--- a/crates/standin/src/bin/standin-caller.rs
+++ b/crates/standin/src/bin/standin-caller.rs
@@ -10,7 +10,7 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use dotterelhinge_standin::backend::record;
 use dotterelhinge_standin::caller::{mix, result, run};
-use dotterelhinge_standin::{check, program};
+use dotterelhinge_standin::{check, plot, program};
 use error_stack::{Report, ResultExt};
 use serde::de::DeserializeOwned;
 use serde_json::json;
@@ -89,6 +89,12 @@
                 .arg(file("results", "Result file"))
                 .arg(file("record", "Answer of the backend's GET /record")),
         )
+        .subcommand(
+            Command::new("plot")
+                .about("Plots the latency percentiles of result files as SVG")
+                .arg(file("results", "Result files").num_args(1..))
+                .arg(file("out", "SVG file").long("out")),
+        )
 }
 
 fn read<T: DeserializeOwned>(path: &Path) -> Result<T, Report<Error>> {
@@ -178,11 +184,25 @@
     Ok(findings.is_empty())
 }
 
+fn plot(matches: &ArgMatches) -> Result<(), Report<Error>> {
+    let mut lines = Vec::new();
+    for path in matches.get_many::<PathBuf>("results").into_iter().flatten() {
+        let results: result::Results = read(path)?;
+        let name = path.file_stem().unwrap_or_default().to_string_lossy();
+        lines.extend(
+            plot::lines(&name, &results).change_context_lazy(|| Error::Read(path.clone()))?,
+        );
+    }
+    let out = path(matches, "out");
+    plot::percentiles(&lines, out).change_context_lazy(|| Error::Write(out.to_owned()))
+}
+
 fn main() -> ExitCode {
     let matches = command().get_matches();
     program::start_log();
     let result = match matches.subcommand() {
         Some(("check", matches)) => check(matches),
+        Some(("plot", matches)) => plot(matches).map(|()| true),
         _ => send(&matches).map(|()| true),
     };
     match result {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod client;
 pub mod http;
 pub mod platform;
+pub mod plot;
 pub mod process;
 pub mod program;
 pub mod relay;
--- a/crates/standin/tests/caller/main.rs
+++ b/crates/standin/tests/caller/main.rs
@@ -3,5 +3,6 @@
 mod arrivals;
 mod checker;
 mod judging;
+mod plotting;
 mod running;
 mod support;
