--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod fleet;
 pub mod http;
 pub mod platform;
+pub mod plot;
 pub mod process;
 pub mod program;
 pub mod relay;
