Serve every class through every daemon, as separate processes

Cause: the path had not run as a whole.

Change: a test starts the platform and backend stand-ins and three daemons, applies the text by dotterelhingectl, and sends a lookup, an order and an 8 MiB upload to each daemon.

--- a/crates/dotterelhinge/src/entry/slot.rs
+++ b/crates/dotterelhinge/src/entry/slot.rs
@@ -94,7 +94,10 @@
 }
 
 /// Gets a slot for the next attempt of `exchange`.
-pub(super) async fn acquire(worker: &Rc<Worker>, exchange: &Exchange) -> Result<Slot, placement::Refusal> {
+pub(super) async fn acquire(
+    worker: &Rc<Worker>,
+    exchange: &Exchange,
+) -> Result<Slot, placement::Refusal> {
     if worker.context.settings.policy == settings::Policy::Fleet {
         let members = worker.context.members.load_full();
         if let Some(member) = members.coordinator(&exchange.service().name)
--- a/crates/dotterelhinge/src/metrics.rs
+++ b/crates/dotterelhinge/src/metrics.rs
@@ -82,7 +82,13 @@
     }
 
     /// Records one finished request.
-    pub(crate) fn record(&self, class: &Arc<str>, customer: &Arc<str>, result: &str, taken: Duration) {
+    pub(crate) fn record(
+        &self,
+        class: &Arc<str>,
+        customer: &Arc<str>,
+        result: &str,
+        taken: Duration,
+    ) {
         let us = (taken.as_micros() as u64).clamp(1, LONGEST_US);
         record_in(&self.classes, class, usize::MAX, us);
         record_in(&self.customers, customer, CUSTOMERS, us);
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -33,7 +33,8 @@
     loop {
         let offset = NEXT_PORT.fetch_add(count, Ordering::Relaxed);
         let first = FIRST_PORT + start.wrapping_add(offset) % (PORTS - count);
-        let free = (first..first + count).all(|port| TcpListener::bind(("127.0.0.1", port)).is_ok());
+        let free =
+            (first..first + count).all(|port| TcpListener::bind(("127.0.0.1", port)).is_ok());
         if free {
             return first;
         }
@@ -103,14 +104,7 @@
 impl Daemon {
     /// Answer of an admin path as JSON.
     pub fn admin(&self, path: &str) -> Value {
-        let answer = client::request(
-            &self.admin,
-            "GET",
-            path,
-            &[],
-            b"",
-            Duration::from_secs(2),
-        );
+        let answer = client::request(&self.admin, "GET", path, &[], b"", Duration::from_secs(2));
         answer.map_or(Value::Null, |answer| answer.json())
     }
 
@@ -190,8 +184,7 @@
         let mut text = text(options, first);
         (options.text)(&mut text);
         let number = NEXT_DIRECTORY.fetch_add(1, Ordering::Relaxed);
-        let directory =
-            std::env::temp_dir().join(format!("dotterelhinge-{}-{number}", os::id()));
+        let directory = std::env::temp_dir().join(format!("dotterelhinge-{}-{number}", os::id()));
         fs::create_dir_all(&directory).expect("the temporary directory is writable");
         let mut fleet = Self {
             platform,
@@ -261,7 +254,10 @@
     pub fn control(&self, arguments: &[&str]) -> (i32, String) {
         let path = process::program_path("dotterelhingectl").expect("dotterelhingectl is built");
         let output = os::Command::new(path)
-            .args(["--platform", &format!("http://{}", self.platform.listening())])
+            .args([
+                "--platform",
+                &format!("http://{}", self.platform.listening()),
+            ])
             .args(arguments)
             .output()
             .expect("dotterelhingectl runs");
@@ -286,13 +282,15 @@
     pub fn fault(&self, servers: &[usize], fault: Value) {
         let body = json!({"servers": servers, "fault": fault});
         let answer = client::post(self.backend.control(), "/fault", &body);
-        assert!(answer.is_ok_and(|answer| answer.status < 300), "fault {body}");
+        assert!(
+            answer.is_ok_and(|answer| answer.status < 300),
+            "fault {body}"
+        );
     }
 
     /// Requests that backend servers began.
     pub fn record(&self) -> Value {
-        client::get(self.backend.control(), "/record")
-            .map_or(Value::Null, |answer| answer.json())
+        client::get(self.backend.control(), "/record").map_or(Value::Null, |answer| answer.json())
     }
 }
 
--- /dev/null
+++ b/crates/standin/tests/path.rs
@@ -0,0 +1,37 @@
+//! The whole path: caller, daemon, upstream.
+
+use std::time::Duration;
+
+use dotterelhinge_standin::{client, fleet};
+use googletest::prelude::*;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Guards against a path that is broken at any daemon for any class.
+#[googletest::test]
+fn every_class_is_served_whole_at_every_daemon() {
+    let fleet = fleet::Fleet::start(&fleet::Options::default());
+    let upload = vec![7_u8; 8 << 20];
+    for daemon in &fleet.daemons {
+        for (method, path, body) in [
+            ("GET", "/lookup/1?bytes=3000", &b""[..]),
+            ("POST", "/order/1", b"one charm"),
+            ("POST", "/upload/1", &upload),
+        ] {
+            let id = format!("{}-{}", daemon.host, path.replace('/', "-"));
+            let answer = client::request(
+                &daemon.listen,
+                method,
+                path,
+                &[("x-request-id", &id)],
+                body,
+                PATIENCE,
+            )
+            .unwrap();
+            expect_that!(answer.status, eq(200), "{path}: {:?}", answer.json());
+            expect_that!(answer.headers.get("x-request-id"), some(eq(id.as_str())));
+            let sum = format!("{:08x}", crc32fast::hash(&answer.body));
+            expect_that!(answer.headers.get("x-checksum"), some(eq(sum.as_str())));
+        }
+    }
+}
