policy: let equal upstreams take turns

Change: the least recently changed of equal upstreams goes first. Suspicion breaks ties in quarters of the ejection threshold.

--- a/crates/policy/src/placement/coordinator.rs
+++ b/crates/policy/src/placement/coordinator.rs
@@ -239,9 +239,7 @@
 
     fn refresh(&mut self, now: Instant, upstream: usize) {
         let full = self.service.upstreams[upstream].slots;
-        let reduced = self
-            .pool
-            .update(now, upstream, full, &self.health, &mut self.rng);
+        let reduced = self.pool.update(now, upstream, full, &self.health);
         self.reduced |= reduced && !self.leaving[upstream];
         if self.accounts.resize(self.pool.open()) {
             for customer in self.queue.customers() {
--- a/crates/policy/src/placement/pool.rs
+++ b/crates/policy/src/placement/pool.rs
@@ -16,10 +16,12 @@
     /// Suspicion at or above the limit of avoidance.
     avoided: bool,
     in_use: u32,
-    /// Bits of the suspicion, which order as the non-negative number does.
-    suspicion: u64,
-    /// Random, so that equal upstreams share the work.
-    tie: u32,
+    /// In quarters of the ejection threshold, so that a single failure does not
+    /// take the work from an upstream while others are as free.
+    suspicion: u8,
+    /// Number of the last change, so that equal upstreams take turns. A random
+    /// tie break that is drawn at a change can neglect one of them for long.
+    changed: u64,
     upstream: usize,
 }
 
@@ -50,6 +52,7 @@
     classes: Vec<Option<Index>>,
     /// Requested classes.
     active: SmallVec<[usize; 8]>,
+    changes: u64,
     avoid: f64,
 }
 
@@ -75,6 +78,7 @@
             open: 0,
             classes: (0..classes).map(|_| None).collect(),
             active: SmallVec::new(),
+            changes: 0,
             avoid,
         }
     }
@@ -132,8 +136,8 @@
         upstream: usize,
         full: u32,
         health: &health::Health,
-        rng: &mut SmallRng,
     ) -> bool {
+        self.changes += 1;
         let mut capacity = 0;
         let mut reduced = false;
         for &class in &self.active {
@@ -163,8 +167,8 @@
                 let rank = Rank {
                     avoided: suspicion >= self.avoid,
                     in_use,
-                    suspicion: suspicion.to_bits(),
-                    tie: rng.random(),
+                    suspicion: (suspicion * 4.0) as u8,
+                    changed: self.changes,
                     upstream,
                 };
                 index.zones[zone].insert(rank);
@@ -242,7 +246,7 @@
             avoided,
             in_use: 0,
             suspicion: 0,
-            tie: 0,
+            changed: 0,
             upstream: 0,
         };
         self.zones[zone]
