Report the output of a failed start whole

Cause: the reader threads could still hold the reason when the end of a process was noticed, and a talkative process without a ready line would have passed the ready timeout. A service time of zero took up to 1 ms.

Change: readers are joined before a failed start is reported, the timeout is looked at after every line, and a time that has passed is not slept. A test covers early answers to uploads; the test of /ready uses a held address instead of a free one, which another process could take.

--- a/crates/standin/src/backend/connection.rs
+++ b/crates/standin/src/backend/connection.rs
@@ -257,6 +257,8 @@
         }
     }
     match until {
+        // The timer would round a time that has passed up to 1 ms.
+        Some(until) if until <= Instant::now() => {}
         Some(until) => {
             stream
                 .unless_closed(time::sleep_until(until.into()))
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -30,7 +30,7 @@
 # Costs
 
 The backend stand-in keeps one record entry per request that it began, until
-`POST /reset`.
+`POST /reset`. The caller keeps one entry per request that it sent.
 */
 
 pub mod backend;
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -22,6 +22,9 @@
 /// seconds to start.
 pub const READY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How often the state of a process is looked at.
+const PERIOD: Duration = Duration::from_millis(20);
+
 /// Output kept per process for error messages.
 const OUTPUT_BYTES: usize = 1024 * 1024;
 
@@ -45,8 +48,8 @@
     NotReady(String),
     #[error("signal failed")]
     Signal,
-    #[error("did not stop in time and was killed")]
-    NotStopped,
+    #[error("did not end in time")]
+    NotEnded,
 }
 
 /// How a process shows that it is ready.
@@ -70,6 +73,7 @@
     child: Child,
     ready: serde_json::Value,
     output: Arc<Mutex<String>>,
+    readers: Vec<thread::JoinHandle<()>>,
 }
 
 impl Process {
@@ -100,18 +104,17 @@
             .change_context_lazy(|| fail(Kind::Start))?;
         let output = Arc::new(Mutex::new(String::new()));
         let (sender, lines) = mpsc::channel();
-        if let Some(stdout) = child.stdout.take() {
-            follow(stdout, Arc::clone(&output), Some(sender));
-        }
-        if let Some(stderr) = child.stderr.take() {
-            follow(stderr, Arc::clone(&output), None);
-        }
+        let stdout = child.stdout.take();
+        let stdout = stdout.map(|stream| follow(stream, Arc::clone(&output), Some(sender)));
+        let stderr = child.stderr.take();
+        let stderr = stderr.map(|stream| follow(stream, Arc::clone(&output), None));
         // From here on an early return drops the process and so ends it.
         let mut process = Process {
             name: program.to_owned(),
             child,
             ready: serde_json::Value::Null,
             output,
+            readers: stdout.into_iter().chain(stderr).collect(),
         };
         process.ready = process.wait_until_ready(ready, &lines)?;
         Ok(process)
@@ -125,25 +128,31 @@
         let until = Instant::now() + READY_TIMEOUT;
         loop {
             match ready {
-                Ready::Line => {
-                    while let Ok(line) = lines.recv_timeout(Duration::from_millis(20)) {
+                Ready::Line => match lines.recv_timeout(PERIOD) {
+                    Ok(line) => {
                         if let Ok(value) = serde_json::from_str::<serde_json::Value>(&line)
                             && value.get("listening").is_some()
                         {
                             return Ok(value);
                         }
                     }
-                }
+                    Err(mpsc::RecvTimeoutError::Timeout) => {}
+                    Err(mpsc::RecvTimeoutError::Disconnected) => thread::sleep(PERIOD),
+                },
                 Ready::Http { address, path } => {
                     let second = Duration::from_secs(1);
                     let answer = client::request(address, "GET", path, &[], b"", second);
                     if answer.is_ok_and(|answer| answer.status == 200) {
                         return Ok(serde_json::Value::Null);
                     }
-                    thread::sleep(Duration::from_millis(20));
+                    thread::sleep(PERIOD);
                 }
             }
             if self.exit_status().is_some() {
+                // The pipes may still hold the reason.
+                for reader in self.readers.drain(..) {
+                    let _ = reader.join();
+                }
                 return Err(self.error(Kind::Ended(self.output())));
             }
             if Instant::now() >= until {
@@ -200,7 +209,7 @@
                 return Ok(status);
             }
             if Instant::now() >= until {
-                return Err(self.error(Kind::NotStopped));
+                return Err(self.error(Kind::NotEnded));
             }
             thread::sleep(Duration::from_millis(5));
         }
@@ -291,7 +300,7 @@
     stream: impl Read + Send + 'static,
     output: Arc<Mutex<String>>,
     lines: Option<mpsc::Sender<String>>,
-) {
+) -> thread::JoinHandle<()> {
     thread::spawn(move || {
         for line in BufReader::new(stream).lines() {
             let Ok(line) = line else { break };
@@ -314,5 +323,5 @@
                 let _ = lines.send(line);
             }
         }
-    });
+    })
 }
--- a/crates/standin/tests/caller/running.rs
+++ b/crates/standin/tests/caller/running.rs
@@ -1,6 +1,7 @@
 //! Runs of the caller against backend servers.
 
 use std::collections::BTreeMap;
+use std::net::TcpListener;
 use std::thread;
 use std::time::Duration;
 use std::{fs, io};
@@ -8,7 +9,7 @@
 use dotterelhinge_standin::caller::judge::Outcome;
 use dotterelhinge_standin::caller::result::{Kind, Results};
 use dotterelhinge_standin::check;
-use dotterelhinge_standin::process::{self, Process};
+use dotterelhinge_standin::process::Process;
 use googletest::prelude::*;
 use serde_json::{Value, json};
 
@@ -137,6 +138,25 @@
     expect_that!(results.not_sent, gt(0));
 }
 
+/// Guards against uploads that go on after their answer, or whose early answer
+/// is missed.
+#[gtest]
+fn early_answer_ends_the_upload() {
+    let backend = support::backend(&[]);
+    support::set(&backend, json!({"kind": "shed"}));
+    // At this rate the upload would take hours.
+    let mix = json!({"kinds": [{"name": "scan", "method": "PUT", "path": "/scan",
+        "body_bytes": 1_000_000, "body_rate": 100}]});
+    let arguments = ["--rate", "100", "--seconds", "0.2"];
+    let results = support::run("early", backend.listening(), &mix, &arguments);
+    let kind = only(&results);
+    expect_that!(
+        kind.failed,
+        eq(&BTreeMap::from([("shed".to_owned(), kind.sent)]))
+    );
+    expect_that!(kind.not_run, eq(kind.sent));
+}
+
 /// Guards against a run that waits for answers without end, or drops the
 /// requests that had none.
 #[gtest]
@@ -165,16 +185,17 @@
 fn only_ready_targets_get_requests() {
     let (first, second) = (support::backend(&[]), support::backend(&[]));
     // The backend answers every path, so it stands in for an admin address;
-    // the other admin address refuses connections.
-    let closed = process::free_addresses(1)[0].to_string();
+    // the other admin address accepts and never answers.
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let silent = listener.local_addr().expect("address").to_string();
     let targets = format!("{},{}", first.listening(), second.listening());
-    let admins = format!("{closed},{}", second.listening());
+    let admins = format!("{silent},{}", second.listening());
     let arguments = ["--rate", "200", "--seconds", "0.3", "--admins", &admins];
     let results = support::run("ready", &targets, &lookup(&json!({})), &arguments);
     expect_that!(only(&results).whole, all![gt(0), eq(only(&results).sent)]);
     expect_that!(support::record(&first), is_empty());
 
-    let admins = format!("{closed},{closed}");
+    let admins = format!("{silent},{silent}");
     let arguments = ["--rate", "200", "--seconds", "0.3", "--admins", &admins];
     let results = support::run("unready", &targets, &lookup(&json!({})), &arguments);
     let all = BTreeMap::from([("no-target".to_owned(), only(&results).sent)]);
