Add SWIM membership

Cause: coordinators, key owners and readers are chosen over the live daemons. Ruled out: sending the whole list every 30 s (7 KB/s at 3,800 members, the limit for all control traffic is 4 KB/s); clearing the queue of a joining daemon and strong feedback on duplicate reports, which left lists of 48 short of members 15 s after a common start.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod clock;
 pub mod contract;
 pub mod health;
+pub mod membership;
 pub mod placement;
 pub mod rendezvous;
