Add the spreading of configuration versions

Cause: accepted versions must be in force everywhere within 6 s and never go back. Change: policy::configuration as a state machine: offers, whole and delta loads, questions at start and after a pause, readers and their poll schedule. Decided: a load from a peer that fails is left to gossip or the next poll; an invalid version is not loaded again; the backoff of readers ends at 4 s so that a store that is back is noticed within the 6 s.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 */
 
 pub mod clock;
+pub mod configuration;
 pub mod contract;
 pub mod health;
 pub mod membership;
