--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,10 +29,12 @@
 pub mod baseline;
 pub mod budget;
 pub mod clock;
+pub mod configuration;
 pub mod contract;
 pub mod detection;
 pub mod fallback;
 pub mod health;
+pub mod membership;
 pub mod placement;
 pub mod rendezvous;
 pub mod retry;
