Run membership and configuration in the daemon

Cause: the daemon polled the seeds and the store, so every daemon read the store and a new version needed it.

Change: actors for the failure detector and for the text in force, with peer messages for pings, versions, whole texts and offered differences; leaving hosts of the platform's list reach coordinators; a departure that is not signalled for 60 s ends; a planned stop is announced.

Ruled out: taking the host list as membership; it lags.

--- a/crates/dotterelhinge/src/coordinator.rs
+++ b/crates/dotterelhinge/src/coordinator.rs
@@ -23,6 +23,11 @@
 /// A ticket that nobody awaits for this long is abandoned.
 const TICKET_SILENCE: Duration = Duration::from_secs(1);
 
+/// An upstream whose departure was not signalled again for this long is taken
+/// back: the host list repeats its sign every second, and a server that was
+/// restarted in place no longer drains.
+const DEPARTURE: Duration = Duration::from_secs(60);
+
 /// Period of the timer that expires waiting requests.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -37,6 +42,8 @@
     term: u64,
     version: u64,
     tickets: HashMap<u64, Ticket>,
+    // When a departure was last signalled, but for those in the text.
+    leaving: HashMap<Arc<str>, Instant>,
 }
 
 /// Coordinators of this daemon, by service.
@@ -92,6 +99,7 @@
                     term,
                     version: in_force.version,
                     tickets: HashMap::new(),
+                    leaving: HashMap::new(),
                 },
             );
         }
@@ -163,6 +171,7 @@
         let services: Vec<_> = self.duties.keys().cloned().collect();
         for service in services {
             self.expire(now, &service);
+            self.return_upstreams(now, &service);
             self.handle_event(&service, placement::Event::Tick);
         }
     }
@@ -355,7 +364,7 @@
                 draining,
             } if self.current(&service, term) => {
                 if let Some(upstream) = draining {
-                    self.handle_event(&service, placement::Event::Leaving(upstream));
+                    self.note_leaving(&service, upstream);
                 }
                 self.handle_event(
                     &service,
@@ -399,6 +408,7 @@
                     );
                 }
             }
+            wire::Entry::Leaving { service, upstream } => self.note_leaving(&service, upstream),
             wire::Entry::Adopt {
                 service,
                 term,
@@ -415,6 +425,33 @@
         }
     }
 
+    fn note_leaving(&mut self, service: &Arc<str>, upstream: Arc<str>) {
+        let now = self.context.clock.now();
+        self.handle_event(service, placement::Event::Leaving(Arc::clone(&upstream)));
+        if let Some(duty) = self.duties.get_mut(service) {
+            duty.leaving.insert(upstream, now);
+        }
+    }
+
+    /// Lets upstreams return whose departure was not signalled for a while.
+    fn return_upstreams(&mut self, now: Instant, service: &Arc<str>) {
+        let Some(duty) = self.duties.get_mut(service) else {
+            return;
+        };
+        let mut returned = Vec::new();
+        duty.leaving.retain(|upstream, signalled| {
+            let over = now.duration_since(*signalled) >= DEPARTURE;
+            if over {
+                returned.push(Arc::clone(upstream));
+            }
+            !over
+        });
+        for upstream in returned {
+            log::info!(event = "upstream_returned", service = &**service, upstream = &*upstream; "no sign of a departure any more");
+            self.handle_event(service, placement::Event::Returned(upstream));
+        }
+    }
+
     fn renew(
         &mut self,
         host: &Arc<str>,
--- a/crates/dotterelhinge/src/daemon.rs
+++ b/crates/dotterelhinge/src/daemon.rs
@@ -7,7 +7,9 @@
 use dotterelhinge_policy::clock;
 use error_stack::{Report, ResultExt};
 
-use crate::{admin, context, coordinator, entry, ledger, metrics, peer, settings};
+use crate::{
+    admin, configuration, context, coordinator, entry, ledger, membership, metrics, peer, settings,
+};
 
 /// Longest wait of a planned stop without a limit: actix-web takes whole
 /// seconds, and a hundred years is as good as none.
@@ -48,12 +50,16 @@
     let coordinator = coordinator::Actor::new(Arc::clone(&context)).start();
     let ledger = ledger::Actor::new(Arc::clone(&context), coordinator.clone()).start();
     let stop = Arc::new(tokio::sync::Notify::new());
-    actix_web::rt::spawn(crate::roster::run(Arc::clone(&context)));
+    let configuration = configuration::Actor::new(Arc::clone(&context), ledger.clone()).start();
+    let membership = membership::Actor::new(Arc::clone(&context), configuration.clone()).start();
+    configuration.do_send(configuration::Connect(membership.clone()));
 
     let peer_server = {
         let server = peer::Server {
             context: Arc::clone(&context),
             coordinator: coordinator.clone(),
+            membership: membership.clone(),
+            configuration,
         };
         let address = context.settings.peer;
         let http = HttpServer::new(move || {
@@ -122,6 +128,7 @@
 
     wait_for_stop(&stop).await?;
     context.stop();
+    membership.do_send(membership::Leave);
     log::info!(event = "stopping", notice_ms = context.settings.stop_notice.as_millis() as u64; "planned stop begins");
     tokio::time::sleep(context.settings.stop_notice).await;
     entry_server.stop(true).await;
--- a/crates/dotterelhinge/src/ledger.rs
+++ b/crates/dotterelhinge/src/ledger.rs
@@ -82,6 +82,16 @@
     pub draining: bool,
 }
 
+/// An upstream is leaving, as the platform's host list says.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Leaving {
+    /// Name of the service.
+    pub(crate) service: Arc<str>,
+    /// Name of the upstream.
+    pub(crate) upstream: Arc<str>,
+}
+
 /// Grants in use, and what their coordinators have yet to hear.
 pub(crate) struct Actor {
     context: Arc<context::Context>,
@@ -316,3 +326,19 @@
         self.flush(ctx, &held.coordinator);
     }
 }
+
+impl Handler<Leaving> for Actor {
+    type Result = ();
+
+    fn handle(&mut self, leaving: Leaving, ctx: &mut Self::Context) {
+        let members = self.context.members.load_full();
+        if let Some(member) = members.coordinator(&leaving.service) {
+            let entry = wire::Entry::Leaving {
+                service: leaving.service,
+                upstream: leaving.upstream,
+            };
+            self.queue(&member.host, entry);
+            self.flush(ctx, &member.host);
+        }
+    }
+}
--- a/crates/dotterelhinge/src/lib.rs
+++ b/crates/dotterelhinge/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod admin;
 pub mod border;
+mod configuration;
 mod context;
 mod coordinator;
 pub mod ctl;
@@ -36,10 +37,10 @@
 mod link;
 pub mod logging;
 mod members;
+mod membership;
 mod metrics;
 mod peer;
 pub mod platform;
-mod roster;
 pub mod settings;
 pub mod text;
 mod wire;
--- a/crates/dotterelhinge/src/peer.rs
+++ b/crates/dotterelhinge/src/peer.rs
@@ -7,7 +7,9 @@
 use error_stack::{Report, ResultExt};
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::{context, coordinator, metrics, wire};
+use dotterelhinge_policy::configuration as configuration_policy;
+
+use crate::{configuration, context, coordinator, membership, metrics, wire};
 
 /// Largest accepted message: a whole text at the target size with room to
 /// spare.
@@ -135,7 +137,11 @@
     /// Shared state of the daemon.
     pub context: Arc<context::Context>,
     /// The coordinators on this daemon.
-    pub coordinator: Addr<coordinator::Actor>,
+    pub(crate) coordinator: Addr<coordinator::Actor>,
+    /// The failure detector.
+    pub(crate) membership: Addr<membership::Actor>,
+    /// The text in force and its spreading.
+    pub(crate) configuration: Addr<configuration::Actor>,
 }
 
 async fn acquire(
@@ -177,16 +183,46 @@
     Ok(encode(&server.context, &receipt))
 }
 
-async fn identity(server: web::Data<Server>) -> HttpResponse {
-    let settings = &server.context.settings;
-    encode(
-        &server.context,
-        &(
-            &settings.host,
-            &settings.availability_zone,
-            &settings.region,
-        ),
-    )
+async fn membership(
+    server: web::Data<Server>,
+    body: web::Bytes,
+) -> Result<HttpResponse, actix_web::Error> {
+    let message = decode(&server.context, &body)?;
+    let answer = server.membership.send(membership::Request(message)).await;
+    match answer {
+        Ok(Some(answer)) => Ok(encode(&server.context, &answer)),
+        _ => Ok(HttpResponse::ServiceUnavailable().finish()),
+    }
+}
+
+fn version(in_force: &context::InForce) -> configuration_policy::Version {
+    configuration_policy::Version {
+        number: in_force.version,
+        hash: Arc::clone(in_force.text.hash()),
+    }
+}
+
+async fn ask_version(server: web::Data<Server>) -> HttpResponse {
+    let in_force = server.context.in_force.load_full();
+    encode(&server.context, &in_force.as_deref().map(version))
+}
+
+async fn ask_text(server: web::Data<Server>) -> HttpResponse {
+    let in_force = server.context.in_force.load_full();
+    let whole = in_force.as_deref().map(|in_force| wire::Whole {
+        version: version(in_force),
+        gzip: in_force.text.gzip().to_vec(),
+    });
+    encode(&server.context, &whole)
+}
+
+async fn offer(
+    server: web::Data<Server>,
+    body: web::Bytes,
+) -> Result<HttpResponse, actix_web::Error> {
+    let message = decode(&server.context, &body)?;
+    server.configuration.do_send(configuration::Offer(message));
+    Ok(encode(&server.context, &()))
 }
 
 /// Adds the paths of the peer port.
@@ -195,6 +231,9 @@
         .app_data(web::PayloadConfig::new(LARGEST_BYTES))
         .route("/peer/v1/acquire", web::post().to(acquire))
         .route("/peer/v1/await", web::post().to(wait))
-        .route("/peer/v1/identity", web::post().to(identity))
+        .route("/peer/v1/membership", web::post().to(membership))
+        .route("/peer/v1/version", web::post().to(ask_version))
+        .route("/peer/v1/text", web::post().to(ask_text))
+        .route("/peer/v1/offer", web::post().to(offer))
         .route("/peer/v1/report", web::post().to(report));
 }
--- a/crates/dotterelhinge/src/wire.rs
+++ b/crates/dotterelhinge/src/wire.rs
@@ -6,12 +6,16 @@
 //! | `/peer/v1/acquire` | [`Acquire`] | [`Answer`] |
 //! | `/peer/v1/await` | [`Await`] | [`Answer`] |
 //! | `/peer/v1/report` | [`Report`] | [`Receipt`] |
+//! | `/peer/v1/membership` | `membership::Message` | `membership::Message` |
+//! | `/peer/v1/version` | nothing | `configuration::Version` or nothing |
+//! | `/peer/v1/text` | nothing | [`Whole`] or nothing |
+//! | `/peer/v1/offer` | [`Offer`] | nothing |
 //!
 //! Durations are whole milliseconds unless a name says otherwise.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
-use dotterelhinge_policy::{health, placement};
+use dotterelhinge_policy::{configuration, health, placement};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -130,6 +134,13 @@
         /// The view.
         view: health::View,
     },
+    /// The platform's host list says that an upstream is leaving.
+    Leaving {
+        /// Name of the service.
+        service: Arc<str>,
+        /// Name of the upstream.
+        upstream: Arc<str>,
+    },
     /// All grants that the host holds for a service.
     Renew {
         /// Name of the service.
@@ -167,3 +178,25 @@
     /// One entry for each service.
     pub standings: Vec<Standing>,
 }
+
+/// Offers a version of the text.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Offer {
+    /// Peer address of the sender.
+    pub(crate) from: SocketAddr,
+    /// The version.
+    pub(crate) version: configuration::Version,
+    /// Version that `delta` starts from, or 0 without a delta.
+    pub(crate) base: u64,
+    /// JSON Patch from the base to the version.
+    pub(crate) delta: Vec<u8>,
+}
+
+/// A whole text.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Whole {
+    /// Its version.
+    pub(crate) version: configuration::Version,
+    /// Canonical JSON in gzip form.
+    pub(crate) gzip: Vec<u8>,
+}
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -175,6 +175,9 @@
     HostGone(Arc<str>),
     /// An upstream is leaving.
     Leaving(Arc<str>),
+    /// An upstream that was leaving takes requests again, unless the text says
+    /// that it is leaving.
+    Returned(Arc<str>),
     /// The view of an earlier coordinator, told by a host. It counts only at
     /// the start of a term.
     Adopt(health::View),
--- a/crates/policy/src/placement/coordinator.rs
+++ b/crates/policy/src/placement/coordinator.rs
@@ -206,6 +206,15 @@
                     self.take_changes(now, changes, &mut actions);
                 }
             }
+            Event::Returned(name) => {
+                if let Some(&upstream) = self.names.get(&name)
+                    && !self.service.upstreams[upstream].leaving
+                {
+                    self.health.mark_returned(now, upstream);
+                    self.index();
+                    self.refresh_all(now);
+                }
+            }
             Event::Adopt(view) => {
                 let changes = self.health.inherit(now, &view);
                 self.take_changes(now, changes, &mut actions);
