policy: test that no slot is granted after a request's limit

Cause: a trial mutant in which a promoted upload never timed out passed. Change: the property checks the limit at each grant.

--- a/crates/policy/tests/coordinator_properties.rs
+++ b/crates/policy/tests/coordinator_properties.rs
@@ -77,6 +77,7 @@
         let mut coordinator = coordinator(all, &shares, start);
         let mut slots = [2, 1, 3];
         let mut hosts = HashMap::new();
+        let mut limits = HashMap::new();
         let mut waiting: Vec<u64> = Vec::new();
         let mut grants: Vec<(u64, String)> = Vec::new();
         let mut now = start;
@@ -89,6 +90,7 @@
                 Move::Acquire(wanted) => {
                     waiting.push(ticket);
                     hosts.insert(ticket, wanted.host.to_string());
+                    limits.insert(ticket, now + MS * wanted.wait);
                     let wanted = support::Wanted { ticket, ..wanted };
                     Event::Acquire(acquire(&wanted))
                 }
@@ -177,6 +179,7 @@
                     // An inherited grant or a new text may exceed the slots, but
                     // then nothing is granted.
                     prop_assert!(coordinator.in_use()[upstream] <= slots[upstream]);
+                    prop_assert!(now <= limits[&ticket], "granted late");
                     grants.push((grant, hosts[&ticket].clone()));
                 }
             }
@@ -187,7 +190,11 @@
         // All holders vanish; the wakes alone must bring everything back.
         let end = now + MS * 12_000;
         while let Some(wake) = coordinator.next_wake().filter(|wake| *wake <= end) {
-            for action in coordinator.handle(wake.max(now), Event::Tick) {
+            now = now.max(wake);
+            for action in coordinator.handle(now, Event::Tick) {
+                if let Action::Grant { ticket, .. } = action {
+                    prop_assert!(now <= limits[&ticket], "granted late");
+                }
                 if let Action::Grant { ticket, .. } | Action::Refuse { ticket, .. } = action {
                     prop_assert!(waiting.contains(&ticket), "{ticket} answered twice");
                     waiting.retain(|other| *other != ticket);
