--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod configuration;
 pub mod contract;
 pub mod health;
+pub mod idempotency;
 pub mod membership;
 pub mod placement;
 pub mod rendezvous;
