--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod detection;
 pub mod fallback;
 pub mod health;
+pub mod idempotency;
 pub mod membership;
 pub mod placement;
 pub mod rendezvous;
