Check idempotency keys with the owner of their range

Cause: an order repeated through another daemon under the same key was a new request.

Ruled out: handing over after the last request; keyed requests of the range would be refused as long as the longest upload lasts.

--- a/crates/dotterelhinge/src/coordinator.rs
+++ b/crates/dotterelhinge/src/coordinator.rs
@@ -230,7 +230,7 @@
                         term: self.term,
                         grant,
                         upstream: Arc::clone(&contract.upstreams[upstream].name),
-                        start_within_ms: 1000,
+                        start_within_ms: self.policy.settings().start_within.as_millis() as u32,
                         slow_after_ms: slow_after.as_millis() as u32,
                     });
                     self.answer(now, ticket, answer);
--- a/crates/dotterelhinge/src/daemon.rs
+++ b/crates/dotterelhinge/src/daemon.rs
@@ -8,7 +8,8 @@
 use error_stack::{Report, ResultExt};
 
 use crate::{
-    admin, configuration, context, coordinator, entry, ledger, membership, metrics, peer, settings,
+    admin, configuration, context, coordinator, entry, idempotency, ledger, membership, metrics,
+    peer, settings,
 };
 
 /// Longest wait of a planned stop without a limit: actix-web takes whole
@@ -18,6 +19,9 @@
 /// Time for peers to fetch what they still need after the last request.
 const LAST_REPORTS: Duration = Duration::from_millis(500);
 
+/// Longest wait for the hand-over of key ranges at a planned stop.
+const KEY_HANDOVER: Duration = Duration::from_secs(5);
+
 /// Idle time after which a caller's connection is closed. Longer than the
 /// idle time of usual balancers, which must be the first to close.
 const CALLER_KEEP_ALIVE: Duration = Duration::from_secs(75);
@@ -51,7 +55,13 @@
     let ledger = ledger::Actor::new(Arc::clone(&context), coordinator.clone()).start();
     let stop = Arc::new(tokio::sync::Notify::new());
     let configuration = configuration::Actor::new(Arc::clone(&context), ledger.clone()).start();
-    let membership = membership::Actor::new(Arc::clone(&context), configuration.clone()).start();
+    let idempotency = idempotency::Actor::new(Arc::clone(&context)).start();
+    let membership = membership::Actor::new(
+        Arc::clone(&context),
+        configuration.clone(),
+        idempotency.clone(),
+    )
+    .start();
     configuration.do_send(configuration::Connect(membership.clone()));
 
     let peer_server = {
@@ -59,6 +69,7 @@
             context: Arc::clone(&context),
             coordinator: coordinator.clone(),
             membership: membership.clone(),
+            idempotency: idempotency.clone(),
             configuration,
         };
         let address = context.settings.peer;
@@ -101,11 +112,13 @@
         let address = context.settings.listen;
         let limit = context.settings.stop_limit.unwrap_or(NO_LIMIT);
         let shared = Arc::clone(&context);
+        let keys = idempotency.clone();
         let http = HttpServer::new(move || {
             let worker = Rc::new(entry::Worker::new(
                 Arc::clone(&shared),
                 coordinator.clone(),
                 ledger.clone(),
+                keys.clone(),
             ));
             App::new()
                 .app_data(web::Data::new(worker))
@@ -131,6 +144,13 @@
     membership.do_send(membership::Leave);
     log::info!(event = "stopping", notice_ms = context.settings.stop_notice.as_millis() as u64; "planned stop begins");
     tokio::time::sleep(context.settings.stop_notice).await;
+    // The records go to the successors; without them repeats of the keys would
+    // be unknown until their window has passed. Requests that are still in
+    // flight tell the successors how they end.
+    let handed_over = tokio::time::timeout(KEY_HANDOVER, idempotency.send(idempotency::Stop)).await;
+    if handed_over.is_err() {
+        log::warn!(event = "keys_not_handed_over"; "key ranges could not be handed over in time");
+    }
     entry_server.stop(true).await;
     tokio::time::sleep(LAST_REPORTS).await;
     peer_server.stop(true).await;
--- a/crates/dotterelhinge/src/entry/body.rs
+++ b/crates/dotterelhinge/src/entry/body.rs
@@ -75,11 +75,6 @@
         self.0.borrow().moved
     }
 
-    /// Whether all bytes have been taken from the caller.
-    pub(super) fn finished(&self) -> bool {
-        self.0.borrow().finished
-    }
-
     /// Why the body ended early, if it did.
     pub(super) fn failure(&self) -> Option<Failure> {
         let inner = self.0.borrow();
--- a/crates/dotterelhinge/src/entry/mod.rs
+++ b/crates/dotterelhinge/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod body;
 mod headers;
+mod key;
 mod own;
 mod problem;
 mod slot;
@@ -21,9 +22,9 @@
 
 use actix::Addr;
 use actix_web::{HttpRequest, HttpResponse, http::header, web};
-use dotterelhinge_policy::{contract, retry};
+use dotterelhinge_policy::{contract, idempotency as policy, retry};
 
-use crate::{context, coordinator, ledger, metrics, peer};
+use crate::{context, coordinator, idempotency, ledger, metrics, peer};
 
 /// Customer of requests without a customer header.
 const NO_CUSTOMER: &str = "(none)";
@@ -35,6 +36,7 @@
     context: Arc<context::Context>,
     coordinator: Addr<coordinator::Actor>,
     ledger: Addr<ledger::Actor>,
+    idempotency: Addr<idempotency::Actor>,
     peers: peer::Client,
     own: RefCell<own::Own>,
 }
@@ -45,6 +47,7 @@
         context: Arc<context::Context>,
         coordinator: Addr<coordinator::Actor>,
         ledger: Addr<ledger::Actor>,
+        idempotency: Addr<idempotency::Actor>,
     ) -> Self {
         Self {
             peers: peer::Client::new(Arc::clone(&context)),
@@ -52,6 +55,7 @@
             context,
             coordinator,
             ledger,
+            idempotency,
         }
     }
 
@@ -174,11 +178,35 @@
 
 async fn run(
     worker: &Rc<Worker>,
-    mut exchange: Exchange,
+    exchange: Exchange,
     request: &HttpRequest,
     payload: web::Payload,
 ) -> Result<HttpResponse, Failure> {
     let body = take_body(worker, &exchange, request, payload).await?;
+    let begun = match key::begin(worker, &exchange, request).await {
+        Ok(begun) => begun,
+        Err(key::Refused::Failed(kind)) => return Err((kind, kind.outcome())),
+        Err(key::Refused::Done(status)) => return Ok(problem::done(status, &exchange.id)),
+    };
+    let result = attempts(worker, exchange, request, &body).await;
+    if let Some(begun) = begun {
+        begun.end(match &result {
+            Ok(answer) => policy::Outcome::Done {
+                status: answer.status().as_u16(),
+            },
+            Err((_, retry::Outcome::NotRun)) => policy::Outcome::NotRun,
+            Err((_, retry::Outcome::Unknown)) => policy::Outcome::Unknown,
+        });
+    }
+    result
+}
+
+async fn attempts(
+    worker: &Rc<Worker>,
+    mut exchange: Exchange,
+    request: &HttpRequest,
+    body: &body::Body,
+) -> Result<HttpResponse, Failure> {
     let class = exchange.class().clone();
     let mut pending = retry::Request::new(&class);
     loop {
@@ -193,7 +221,7 @@
         };
         metrics::Registry::add(&worker.context.metrics.counters.attempts, 1);
         let running = pending.start(Arc::clone(slot.upstream()));
-        let (ended, answer) = match attempt::run(worker, &exchange, slot, request, &body).await {
+        let (ended, answer) = match attempt::run(worker, &exchange, slot, request, body).await {
             attempt::Ending::Answered(answer) => return Ok(answer),
             attempt::Ending::Failed { ended, answer } => (ended, answer),
         };
--- a/crates/dotterelhinge/src/entry/problem.rs
+++ b/crates/dotterelhinge/src/entry/problem.rs
@@ -33,3 +33,23 @@
         .to_string(),
     )
 }
+
+/// The answer for a repeat of a request that was answered before. The body of
+/// that answer is not kept.
+pub(crate) fn done(status: u16, request_id: &str) -> HttpResponse {
+    HttpResponse::Conflict()
+        .content_type("application/problem+json")
+        .insert_header((OUTCOME_HEADER, "done"))
+        .insert_header((REQUEST_ID_HEADER, request_id))
+        .body(
+            json!({
+                "type": "urn:dotterelhinge:problem:key-done",
+                "title": "key-done",
+                "status": StatusCode::CONFLICT.as_u16(),
+                "outcome": "done",
+                "original_status": status,
+                "request_id": request_id,
+            })
+            .to_string(),
+        )
+}
--- a/crates/dotterelhinge/src/ledger.rs
+++ b/crates/dotterelhinge/src/ledger.rs
@@ -130,8 +130,7 @@
 
     fn address(&self, host: &str) -> Option<SocketAddr> {
         let members = self.context.members.load();
-        let member = members.members().iter().find(|m| &*m.host == host)?;
-        Some(member.address)
+        members.get(host).map(|member| member.address)
     }
 
     fn flush(&mut self, ctx: &mut Context<Self>, coordinator: &Arc<str>) {
--- a/crates/dotterelhinge/src/lib.rs
+++ b/crates/dotterelhinge/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod daemon;
 mod entry;
 mod events;
+mod idempotency;
 mod ledger;
 mod link;
 pub mod logging;
--- a/crates/dotterelhinge/src/members.rs
+++ b/crates/dotterelhinge/src/members.rs
@@ -45,6 +45,15 @@
         &self.members
     }
 
+    /// The member on `host`.
+    pub(crate) fn get(&self, host: &str) -> Option<&Member> {
+        let index = self
+            .members
+            .binary_search_by(|m| (*m.host).cmp(host))
+            .ok()?;
+        self.members.get(index)
+    }
+
     /// The member that coordinates `service`.
     pub(crate) fn coordinator(&self, service: &Arc<str>) -> Option<&Member> {
         let known = {
--- a/crates/dotterelhinge/src/membership.rs
+++ b/crates/dotterelhinge/src/membership.rs
@@ -7,7 +7,7 @@
 use rand::{SeedableRng, rngs::StdRng};
 use tokio::sync::oneshot;
 
-use crate::{configuration, context, members, peer};
+use crate::{configuration, context, idempotency, members, peer};
 
 /// Period of the detector's timer. Its pings are a second apart; a finer timer
 /// keeps their timeouts exact.
@@ -17,6 +17,7 @@
 pub(crate) struct Actor {
     context: Arc<context::Context>,
     configuration: Addr<configuration::Actor>,
+    idempotency: Addr<idempotency::Actor>,
     policy: policy::Membership,
     client: Option<peer::Client>,
     waiting: HashMap<policy::Id, oneshot::Sender<policy::Message>>,
@@ -28,6 +29,7 @@
     pub(crate) fn new(
         context: Arc<context::Context>,
         configuration: Addr<configuration::Actor>,
+        idempotency: Addr<idempotency::Actor>,
     ) -> Self {
         let settings = &context.settings;
         let me = policy::Member {
@@ -44,6 +46,7 @@
             policy: policy::Membership::new(now, me, policy::Settings::default(), rng),
             context,
             configuration,
+            idempotency,
             client: None,
             waiting: HashMap::new(),
             next_request: 1,
@@ -128,6 +131,7 @@
             log::info!(event = "members", count = list.members().len(), generation = snapshot.generation; "member list changed");
             self.context.members.store(Arc::new(list));
             self.configuration.do_send(configuration::Members);
+            self.idempotency.do_send(idempotency::Members);
         }
     }
 }
--- a/crates/dotterelhinge/src/peer.rs
+++ b/crates/dotterelhinge/src/peer.rs
@@ -7,9 +7,11 @@
 use error_stack::{Report, ResultExt};
 use serde::{Serialize, de::DeserializeOwned};
 
-use dotterelhinge_policy::configuration as configuration_policy;
+use dotterelhinge_policy::{
+    configuration as configuration_policy, idempotency as idempotency_policy,
+};
 
-use crate::{configuration, context, coordinator, membership, metrics, wire};
+use crate::{configuration, context, coordinator, idempotency, membership, metrics, wire};
 
 /// Largest accepted message: a whole text at the target size with room to
 /// spare.
@@ -140,6 +142,8 @@
     pub(crate) coordinator: Addr<coordinator::Actor>,
     /// The failure detector.
     pub(crate) membership: Addr<membership::Actor>,
+    /// The key ranges of this daemon.
+    pub(crate) idempotency: Addr<idempotency::Actor>,
     /// The text in force and its spreading.
     pub(crate) configuration: Addr<configuration::Actor>,
 }
@@ -225,6 +229,45 @@
     Ok(encode(&server.context, &()))
 }
 
+async fn key_begin(
+    server: web::Data<Server>,
+    body: web::Bytes,
+) -> Result<HttpResponse, actix_web::Error> {
+    let message = decode(&server.context, &body)?;
+    let verdict = server
+        .idempotency
+        .send(idempotency::Begin(message))
+        .await
+        .unwrap_or(idempotency_policy::Verdict::Unfenced);
+    Ok(encode(&server.context, &verdict))
+}
+
+async fn key_end(
+    server: web::Data<Server>,
+    body: web::Bytes,
+) -> Result<HttpResponse, actix_web::Error> {
+    let message: idempotency::End = decode(&server.context, &body)?;
+    match server.idempotency.send(message).await {
+        Ok(ended) => Ok(encode(&server.context, &ended)),
+        Err(_) => Ok(HttpResponse::ServiceUnavailable().finish()),
+    }
+}
+
+async fn key_handover(
+    server: web::Data<Server>,
+    body: web::Bytes,
+) -> Result<HttpResponse, actix_web::Error> {
+    let message = decode(&server.context, &body)?;
+    match server
+        .idempotency
+        .send(idempotency::Handover(message))
+        .await
+    {
+        Ok(incarnation) => Ok(encode(&server.context, &incarnation)),
+        Err(_) => Ok(HttpResponse::ServiceUnavailable().finish()),
+    }
+}
+
 /// Adds the paths of the peer port.
 pub(crate) fn configure(config: &mut web::ServiceConfig) {
     config
@@ -235,5 +278,8 @@
         .route("/peer/v1/version", web::post().to(ask_version))
         .route("/peer/v1/text", web::post().to(ask_text))
         .route("/peer/v1/offer", web::post().to(offer))
+        .route("/peer/v1/key-begin", web::post().to(key_begin))
+        .route("/peer/v1/key-end", web::post().to(key_end))
+        .route("/peer/v1/key-handover", web::post().to(key_handover))
         .route("/peer/v1/report", web::post().to(report));
 }
--- a/crates/dotterelhinge/src/wire.rs
+++ b/crates/dotterelhinge/src/wire.rs
@@ -10,6 +10,9 @@
 //! | `/peer/v1/version` | nothing | `configuration::Version` or nothing |
 //! | `/peer/v1/text` | nothing | [`Whole`] or nothing |
 //! | `/peer/v1/offer` | [`Offer`] | nothing |
+//! | `/peer/v1/key-begin` | `idempotency::Begin` | `idempotency::Verdict` |
+//! | `/peer/v1/key-end` | `End` | `idempotency::Ended` |
+//! | `/peer/v1/key-handover` | `idempotency::Handover` | incarnation of the receiver |
 //!
 //! Durations are whole milliseconds unless a name says otherwise.
 
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -67,6 +67,8 @@
     Unfenced,
     /// The idempotency key is older than the repeat window.
     KeyTooOld,
+    /// The idempotency key claims to be made in the future.
+    KeyTooNew,
     /// The idempotency key was used for another request.
     KeyMismatch,
     /// The deadline passed.
@@ -85,7 +87,7 @@
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::BadRequest,
         Self::NoRoute,
         Self::TooLarge,
@@ -98,6 +100,7 @@
         Self::UpstreamShed,
         Self::Unfenced,
         Self::KeyTooOld,
+        Self::KeyTooNew,
         Self::KeyMismatch,
         Self::Deadline,
         Self::BrokenAnswer,
@@ -122,6 +125,7 @@
             Self::UpstreamShed => ("upstream-shed", 503, NotRun),
             Self::Unfenced => ("unfenced", 503, NotRun),
             Self::KeyTooOld => ("key-too-old", 422, NotRun),
+            Self::KeyTooNew => ("key-too-new", 422, NotRun),
             Self::KeyMismatch => ("key-mismatch", 422, NotRun),
             Self::Deadline => ("deadline", 504, Unknown),
             Self::BrokenAnswer => ("broken-answer", 502, Unknown),
