Test that only the last hand-over of a range counts

Cause: accepting records of an abandoned or late hand-over broke no test. Change: a named test for both orders.

--- a/crates/policy/tests/idempotency.rs
+++ b/crates/policy/tests/idempotency.rs
@@ -400,6 +400,56 @@
     expect_that!(resumed, eq(Verdict::Unfenced));
 }
 
+/// Guards against records of an abandoned hand-over that stand in for the
+/// owner's last ones: after the owner's crash, or when a copy arrives late.
+#[googletest::test]
+fn only_the_last_hand_over_counts() {
+    for crash in [true, false] {
+        let mut world = World::new(2, 1, 0);
+        world.members(&[0]);
+        world.advance(Duration::from_secs(5));
+        let (now, wall) = (world.now, world.wall);
+        let machine = &mut world.daemons[0].machine;
+        machine.handle(now, wall, Event::Members(vec![host(1)]));
+        let abandoned: Vec<_> = machine.handle(now, wall, Event::Tick);
+        for action in abandoned {
+            let Action::Handover { handover, .. } = action else {
+                continue;
+            };
+            let range = handover.range;
+            world.event(
+                0,
+                Event::HandedOver {
+                    range,
+                    receiver: None,
+                },
+            );
+            world.late_records.push((1, handover));
+        }
+        world.event(0, Event::Members(vec![host(0)]));
+        let key = timed_key(wall, 0, 1, None);
+        expect_that!(world.begin(0, &key, 1), eq(Verdict::Begin));
+        if crash {
+            for (to, handover) in std::mem::take(&mut world.late_records) {
+                world.event(to, Event::Handover(handover));
+            }
+            world.daemons[0].paused = true;
+            world.members(&[1]);
+            world.advance(Duration::from_secs(40));
+            expect_that!(world.begin(1, &key, 2), eq(Verdict::Unknown));
+        } else {
+            world.event(0, Event::Members(vec![host(1)]));
+            world.event(0, Event::Tick);
+            for (to, handover) in std::mem::take(&mut world.late_records) {
+                world.event(to, Event::Handover(handover));
+            }
+            world.members(&[1]);
+            world.advance(Duration::from_secs(10));
+            expect_that!(world.begin(1, &key, 2), eq(Verdict::InProgress));
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Op {
     Advance(u64),
