--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -15,6 +15,10 @@
 
 use crate::{client, process};
 
+mod load;
+
+pub use load::{Load, alone, mix};
+
 /// Ports given out, below the range that the kernel uses for outgoing
 /// connections (32768 and up), so that no outgoing connection takes one.
 const FIRST_PORT: u16 = 10_000;
--- /dev/null
+++ b/crates/standin/src/fleet/load.rs
@@ -0,0 +1,253 @@
+//! Load on a fleet while a test acts on it, and what the fleet shows of it.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+use tokio::{sync::oneshot, task};
+
+use super::{Daemon, Fleet};
+use crate::{
+    backend::record::{Entry, Page, State},
+    caller::{mix, result::Results, run},
+    check, client,
+};
+
+static ALONE: Mutex<()> = Mutex::new(());
+
+/// Lets the tests of one executable run one after the other, so that few
+/// processes run at once.
+pub fn alone() -> MutexGuard<'static, ()> {
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Repeatable lookups, orders that may not be repeated, and small uploads.
+pub fn mix() -> mix::Mix {
+    let lookup = mix::Kind {
+        name: "lookup".to_owned(),
+        weight: 6.0,
+        path: "/lookup/1".to_owned(),
+        bytes: Some(3000),
+        repeatable: true,
+        ..Default::default()
+    };
+    let order = mix::Kind {
+        name: "order".to_owned(),
+        weight: 3.0,
+        method: "POST".to_owned(),
+        path: "/order/1".to_owned(),
+        body_bytes: 300,
+        ..Default::default()
+    };
+    let upload = mix::Kind {
+        name: "upload".to_owned(),
+        weight: 1.0,
+        method: "PUT".to_owned(),
+        path: "/upload/1".to_owned(),
+        body_bytes: 100_000,
+        repeatable: true,
+        ..Default::default()
+    };
+    mix::Mix {
+        kinds: vec![lookup, order, upload],
+    }
+}
+
+/// Calls that run on a thread of their own.
+#[derive(Debug)]
+pub struct Load {
+    stop: Option<oneshot::Sender<()>>,
+    thread: thread::JoinHandle<Option<Results>>,
+}
+
+impl Load {
+    /// Starts calls.
+    pub fn start(settings: run::Settings) -> Self {
+        let (stop, stopped) = oneshot::channel::<()>();
+        let thread = thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .ok()?;
+            let stopped = async move {
+                // A dropped sender stops the calls as well.
+                let _ = stopped.await;
+            };
+            task::LocalSet::new().block_on(&runtime, run::run(settings, stopped))
+        });
+        Self {
+            stop: Some(stop),
+            thread,
+        }
+    }
+
+    /// Waits for the end of the arrivals and the last answer.
+    pub fn join(self) -> Results {
+        let Self { stop, thread } = self;
+        let results = thread.join().ok().flatten();
+        // Dropped only now: a dropped sender ends the arrivals.
+        drop(stop);
+        results.expect("the load is valid and does not panic")
+    }
+
+    /// Ends the arrivals and waits for the last answer.
+    pub fn finish(mut self) -> Results {
+        drop(self.stop.take());
+        self.join()
+    }
+}
+
+impl Daemon {
+    /// Log lines of the running process in the order of writing.
+    pub fn log(&self) -> Vec<Value> {
+        let output = self.process.as_ref().map(|process| process.output());
+        let output = output.unwrap_or_default();
+        let lines = output.lines();
+        lines
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .collect()
+    }
+
+    /// Log lines with this event.
+    pub fn events(&self, event: &str) -> Vec<Value> {
+        let mut lines = self.log();
+        lines.retain(|line| line["event"] == event);
+        lines
+    }
+}
+
+impl Fleet {
+    /// Starts calls to all daemons that are ready, for at most `length`.
+    pub fn load(&self, mix: mix::Mix, rate: f64, length: Duration) -> Load {
+        let all = 0..self.daemons.len();
+        self.load_at(&all.collect::<Vec<_>>(), mix, rate, length)
+    }
+
+    /// Starts calls to the daemons with these indices.
+    pub fn load_at(&self, at: &[usize], mix: mix::Mix, rate: f64, length: Duration) -> Load {
+        let daemons = || at.iter().map(|index| &self.daemons[*index]);
+        Load::start(run::Settings {
+            targets: daemons().map(|daemon| daemon.listen.clone()).collect(),
+            admins: daemons().map(|daemon| daemon.admin.clone()).collect(),
+            ready_period: Duration::from_millis(50),
+            mix: Arc::new(mix),
+            rate,
+            length,
+            ..Default::default()
+        })
+    }
+
+    /// The record, once no request runs any more.
+    pub fn settled_record(&self) -> Vec<Entry> {
+        self.wait("no request runs", |fleet| {
+            fleet.entries().iter().all(|e| e.state != State::Running)
+        });
+        self.entries()
+    }
+
+    /// The record as it stands.
+    pub fn entries(&self) -> Vec<Entry> {
+        let page: Page = serde_json::from_value(self.record()).expect("the record is a page");
+        page.entries
+    }
+
+    /// Broken requirements in `results`.
+    pub fn findings(&self, results: &Results) -> Vec<check::Finding> {
+        check::check(&self.settled_record(), results)
+    }
+
+    /// Sum of a counter of all running daemons.
+    pub fn counter(&self, name: &str) -> u64 {
+        let daemons = self.daemons.iter().filter(|d| d.process.is_some());
+        daemons
+            .filter_map(|daemon| daemon.admin("/status")["counters"][name].as_u64())
+            .sum()
+    }
+
+    /// Waits until the daemons have received `count` more requests.
+    pub fn wait_for_requests(&self, count: u64) {
+        let before = self.counter("requests");
+        self.wait("requests arrive", |fleet| {
+            fleet.counter("requests") >= before + count
+        });
+    }
+
+    /// Index of the daemon that all running daemons take for the coordinator.
+    pub fn coordinator(&self) -> Option<usize> {
+        let duties = |daemon: &Daemon| {
+            let status = daemon.admin("/status");
+            status["coordinator_of"]
+                .as_array()
+                .is_some_and(|services| !services.is_empty())
+        };
+        let mut found = (0..self.daemons.len())
+            .filter(|n| self.daemons[*n].process.is_some() && duties(&self.daemons[*n]));
+        found.next().filter(|_| found.next().is_none())
+    }
+
+    /// Rows of `/upstreams` of all running daemons, by daemon.
+    pub fn upstreams(&self) -> BTreeMap<String, Vec<Value>> {
+        let running = self.daemons.iter().filter(|d| d.process.is_some());
+        running
+            .map(|daemon| {
+                let rows = daemon.admin("/upstreams").as_array().cloned();
+                (daemon.host.clone(), rows.unwrap_or_default())
+            })
+            .collect()
+    }
+
+    /// States of an upstream for a class at the daemons that coordinate it.
+    pub fn states(&self, upstream: &str, class: &str) -> Vec<String> {
+        let rows = self.upstreams().into_values().flatten();
+        rows.filter(|row| row["upstream"] == upstream && row["class"] == class)
+            .filter_map(|row| row["state"].as_str().map(str::to_owned))
+            .collect()
+    }
+
+    /// Changes the platform stand-in.
+    pub fn platform(&self, control: &Value) {
+        let answer = client::post(self.platform.listening(), "/control", control);
+        assert!(
+            answer.is_ok_and(|answer| answer.status == 204),
+            "control {control}"
+        );
+    }
+
+    /// Current time of the record in milliseconds.
+    pub fn record_ms(&self) -> f64 {
+        // Clearing the faults of a class that has none changes nothing.
+        self.fault_at(Some("/none"), &[], json!({"kind": "clear"}))
+    }
+
+    /// Sets a fault for a class, or all without one, and returns the time of
+    /// the record.
+    pub fn fault_at(&self, class: Option<&str>, servers: &[usize], fault: Value) -> f64 {
+        let body = json!({"servers": servers, "class": class, "fault": fault});
+        let answer = client::post(self.backend.control(), "/fault", &body);
+        let answer = answer.expect("the backend answers").json();
+        answer["at_ms"].as_f64().expect("the fault is known")
+    }
+
+    /// Commits `text` over `base` from a file of its own, so that several
+    /// operators can do so at once. Returns exit code and output.
+    pub fn apply_text(&self, text: &Value, base: u64, author: &str) -> (i32, String) {
+        let path = self.directory.join(format!("text-{author}.json"));
+        std::fs::write(&path, text.to_string()).expect("the text file is writable");
+        let path = path.to_string_lossy();
+        let base = base.to_string();
+        self.control(&["apply", &path, "--base", &base, "--author", author])
+    }
+
+    /// Whether all running daemons are ready with this version.
+    pub fn is_in_force(&self, version: u64) -> bool {
+        let mut running = self.daemons.iter().filter(|d| d.process.is_some());
+        running.all(|daemon| {
+            let status = daemon.admin("/status");
+            status["version"] == version && status["ready"] == true
+        })
+    }
+}
