--- a/crates/dotterelhinge/src/coordinator.rs
+++ b/crates/dotterelhinge/src/coordinator.rs
@@ -15,14 +15,19 @@
 
 /// An acquire is answered within this time, if only with `Queued`, so that a
 /// caller can tell a full service from a paused coordinator.
-pub const FIRST_ANSWER: Duration = Duration::from_millis(25);
+pub(crate) const FIRST_ANSWER: Duration = Duration::from_millis(25);
 
 /// An await is answered within this time.
-pub const NEXT_ANSWER: Duration = Duration::from_millis(250);
+pub(crate) const NEXT_ANSWER: Duration = Duration::from_millis(250);
 
 /// A ticket that nobody awaits for this long is abandoned.
 const TICKET_SILENCE: Duration = Duration::from_secs(1);
 
+/// An upstream whose departure was not signalled again for this long is taken
+/// back: the host list repeats its sign every second, and a server that was
+/// restarted in place no longer drains.
+const DEPARTURE: Duration = Duration::from_secs(60);
+
 /// Period of the timer that expires waiting requests.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -37,10 +42,12 @@
     term: u64,
     version: u64,
     tickets: HashMap<u64, Ticket>,
+    // When a departure was last signalled, but for those in the text.
+    leaving: HashMap<Arc<str>, Instant>,
 }
 
 /// Coordinators of this daemon, by service.
-pub struct Actor {
+pub(crate) struct Actor {
     context: Arc<context::Context>,
     duties: HashMap<Arc<str>, Duty>,
     next_ticket: u64,
@@ -48,7 +55,7 @@
 
 impl Actor {
     /// An actor without duties; they begin with the first request.
-    pub fn new(context: Arc<context::Context>) -> Self {
+    pub(crate) fn new(context: Arc<context::Context>) -> Self {
         Self {
             context,
             duties: HashMap::new(),
@@ -92,6 +99,7 @@
                     term,
                     version: in_force.version,
                     tickets: HashMap::new(),
+                    leaving: HashMap::new(),
                 },
             );
         }
@@ -163,6 +171,7 @@
         let services: Vec<_> = self.duties.keys().cloned().collect();
         for service in services {
             self.expire(now, &service);
+            self.return_upstreams(now, &service);
             self.handle_event(&service, placement::Event::Tick);
         }
     }
@@ -221,7 +230,7 @@
                         term: self.term,
                         grant,
                         upstream: Arc::clone(&contract.upstreams[upstream].name),
-                        start_within_ms: 1000,
+                        start_within_ms: self.policy.settings().start_within.as_millis() as u32,
                         slow_after_ms: slow_after.as_millis() as u32,
                     });
                     self.answer(now, ticket, answer);
@@ -263,7 +272,7 @@
 /// Asks for a slot.
 #[derive(Message)]
 #[rtype(result = "wire::Answer")]
-pub struct Acquire(pub wire::Acquire);
+pub(crate) struct Acquire(pub wire::Acquire);
 
 impl Handler<Acquire> for Actor {
     type Result = ResponseFuture<wire::Answer>;
@@ -305,7 +314,7 @@
 /// Goes on waiting for a slot.
 #[derive(Message)]
 #[rtype(result = "wire::Answer")]
-pub struct Await(pub wire::Await);
+pub(crate) struct Await(pub wire::Await);
 
 impl Handler<Await> for Actor {
     type Result = ResponseFuture<wire::Answer>;
@@ -318,7 +327,7 @@
 /// Takes what a holder of grants reports.
 #[derive(Message)]
 #[rtype(result = "wire::Receipt")]
-pub struct Report(pub wire::Report);
+pub(crate) struct Report(pub wire::Report);
 
 impl Handler<Report> for Actor {
     type Result = MessageResult<Report>;
@@ -355,7 +364,7 @@
                 draining,
             } if self.current(&service, term) => {
                 if let Some(upstream) = draining {
-                    self.handle_event(&service, placement::Event::Leaving(upstream));
+                    self.note_leaving(&service, upstream);
                 }
                 self.handle_event(
                     &service,
@@ -399,6 +408,7 @@
                     );
                 }
             }
+            wire::Entry::Leaving { service, upstream } => self.note_leaving(&service, upstream),
             wire::Entry::Adopt {
                 service,
                 term,
@@ -415,6 +425,33 @@
         }
     }
 
+    fn note_leaving(&mut self, service: &Arc<str>, upstream: Arc<str>) {
+        let now = self.context.clock.now();
+        self.handle_event(service, placement::Event::Leaving(Arc::clone(&upstream)));
+        if let Some(duty) = self.duties.get_mut(service) {
+            duty.leaving.insert(upstream, now);
+        }
+    }
+
+    /// Lets upstreams return whose departure was not signalled for a while.
+    fn return_upstreams(&mut self, now: Instant, service: &Arc<str>) {
+        let Some(duty) = self.duties.get_mut(service) else {
+            return;
+        };
+        let mut returned = Vec::new();
+        duty.leaving.retain(|upstream, signalled| {
+            let over = now.duration_since(*signalled) >= DEPARTURE;
+            if over {
+                returned.push(Arc::clone(upstream));
+            }
+            !over
+        });
+        for upstream in returned {
+            log::info!(event = "upstream_returned", service = &**service, upstream = &*upstream; "no sign of a departure any more");
+            self.handle_event(service, placement::Event::Returned(upstream));
+        }
+    }
+
     fn renew(
         &mut self,
         host: &Arc<str>,
@@ -445,7 +482,7 @@
 /// Asks for the state of every upstream that this daemon coordinates.
 #[derive(Message)]
 #[rtype(result = "Vec<serde_json::Value>")]
-pub struct Inspect;
+pub(crate) struct Inspect;
 
 impl Handler<Inspect> for Actor {
     type Result = MessageResult<Inspect>;
--- a/crates/dotterelhinge/src/entry/problem.rs
+++ b/crates/dotterelhinge/src/entry/problem.rs
@@ -6,13 +6,13 @@
 use serde_json::json;
 
 /// Header with `not-run` or `unknown`.
-pub const OUTCOME_HEADER: &str = "dotterelhinge-outcome";
+pub(super) const OUTCOME_HEADER: &str = "dotterelhinge-outcome";
 
 /// Header with the request id on every answer.
-pub const REQUEST_ID_HEADER: &str = "dotterelhinge-request-id";
+pub(super) const REQUEST_ID_HEADER: &str = "dotterelhinge-request-id";
 
 /// The answer for a failed request.
-pub fn answer(kind: retry::Kind, outcome: retry::Outcome, request_id: &str) -> HttpResponse {
+pub(super) fn answer(kind: retry::Kind, outcome: retry::Outcome, request_id: &str) -> HttpResponse {
     let status = StatusCode::from_u16(kind.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut builder = HttpResponse::build(status);
     builder
@@ -33,3 +33,23 @@
         .to_string(),
     )
 }
+
+/// The answer for a repeat of a request that was answered before. The body of
+/// that answer is not kept.
+pub(crate) fn done(status: u16, request_id: &str) -> HttpResponse {
+    HttpResponse::Conflict()
+        .content_type("application/problem+json")
+        .insert_header((OUTCOME_HEADER, "done"))
+        .insert_header((REQUEST_ID_HEADER, request_id))
+        .body(
+            json!({
+                "type": "urn:dotterelhinge:problem:key-done",
+                "title": "key-done",
+                "status": StatusCode::CONFLICT.as_u16(),
+                "outcome": "done",
+                "original_status": status,
+                "request_id": request_id,
+            })
+            .to_string(),
+        )
+}
--- a/crates/dotterelhinge/src/lib.rs
+++ b/crates/dotterelhinge/src/lib.rs
@@ -26,20 +26,22 @@
 
 mod admin;
 pub mod border;
+mod configuration;
 mod context;
 mod coordinator;
 pub mod ctl;
 pub mod daemon;
 mod entry;
 mod events;
+mod idempotency;
 mod ledger;
 mod link;
 pub mod logging;
 mod members;
+mod membership;
 mod metrics;
 mod peer;
 pub mod platform;
-mod roster;
 pub mod settings;
 pub mod text;
 mod wire;
--- a/crates/dotterelhinge/src/peer.rs
+++ b/crates/dotterelhinge/src/peer.rs
@@ -7,7 +7,11 @@
 use error_stack::{Report, ResultExt};
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::{context, coordinator, metrics, wire};
+use dotterelhinge_policy::{
+    configuration as configuration_policy, idempotency as idempotency_policy,
+};
+
+use crate::{configuration, context, coordinator, idempotency, membership, metrics, wire};
 
 /// Largest accepted message: a whole text at the target size with room to
 /// spare.
@@ -18,7 +22,7 @@
 
 /// Why a message failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-pub enum Error {
+pub(crate) enum Error {
     /// No connection could be made, so nothing was delivered.
     #[error("the peer can't be reached")]
     Unreachable,
@@ -32,14 +36,14 @@
 
 /// Sends messages to other daemons from one thread.
 #[derive(Clone)]
-pub struct Client {
+pub(crate) struct Client {
     http: awc::Client,
     context: Arc<context::Context>,
 }
 
 impl Client {
     /// A client with connections of its own.
-    pub fn new(context: Arc<context::Context>) -> Self {
+    pub(crate) fn new(context: Arc<context::Context>) -> Self {
         let connector = awc::Connector::new()
             .limit(0)
             .timeout(Duration::from_millis(500))
@@ -56,7 +60,7 @@
     }
 
     /// Sends `message` and waits for the answer.
-    pub async fn post<M: Serialize, A: DeserializeOwned>(
+    pub(crate) async fn post<M: Serialize, A: DeserializeOwned>(
         &self,
         address: SocketAddr,
         path: &str,
@@ -131,11 +135,17 @@
 
 /// State of the peer server.
 #[derive(Clone)]
-pub struct Server {
+pub(crate) struct Server {
     /// Shared state of the daemon.
     pub context: Arc<context::Context>,
     /// The coordinators on this daemon.
-    pub coordinator: Addr<coordinator::Actor>,
+    pub(crate) coordinator: Addr<coordinator::Actor>,
+    /// The failure detector.
+    pub(crate) membership: Addr<membership::Actor>,
+    /// The key ranges of this daemon.
+    pub(crate) idempotency: Addr<idempotency::Actor>,
+    /// The text in force and its spreading.
+    pub(crate) configuration: Addr<configuration::Actor>,
 }
 
 async fn acquire(
@@ -177,24 +187,99 @@
     Ok(encode(&server.context, &receipt))
 }
 
-async fn identity(server: web::Data<Server>) -> HttpResponse {
-    let settings = &server.context.settings;
-    encode(
-        &server.context,
-        &(
-            &settings.host,
-            &settings.availability_zone,
-            &settings.region,
-        ),
-    )
+async fn membership(
+    server: web::Data<Server>,
+    body: web::Bytes,
+) -> Result<HttpResponse, actix_web::Error> {
+    let message = decode(&server.context, &body)?;
+    let answer = server.membership.send(membership::Request(message)).await;
+    match answer {
+        Ok(Some(answer)) => Ok(encode(&server.context, &answer)),
+        _ => Ok(HttpResponse::ServiceUnavailable().finish()),
+    }
+}
+
+fn version(in_force: &context::InForce) -> configuration_policy::Version {
+    configuration_policy::Version {
+        number: in_force.version,
+        hash: Arc::clone(in_force.text.hash()),
+    }
+}
+
+async fn ask_version(server: web::Data<Server>) -> HttpResponse {
+    let in_force = server.context.in_force.load_full();
+    encode(&server.context, &in_force.as_deref().map(version))
+}
+
+async fn ask_text(server: web::Data<Server>) -> HttpResponse {
+    let in_force = server.context.in_force.load_full();
+    let whole = in_force.as_deref().map(|in_force| wire::Whole {
+        version: version(in_force),
+        gzip: in_force.text.gzip().to_vec(),
+    });
+    encode(&server.context, &whole)
+}
+
+async fn offer(
+    server: web::Data<Server>,
+    body: web::Bytes,
+) -> Result<HttpResponse, actix_web::Error> {
+    let message = decode(&server.context, &body)?;
+    server.configuration.do_send(configuration::Offer(message));
+    Ok(encode(&server.context, &()))
+}
+
+async fn key_begin(
+    server: web::Data<Server>,
+    body: web::Bytes,
+) -> Result<HttpResponse, actix_web::Error> {
+    let message = decode(&server.context, &body)?;
+    let verdict = server
+        .idempotency
+        .send(idempotency::Begin(message))
+        .await
+        .unwrap_or(idempotency_policy::Verdict::Unfenced);
+    Ok(encode(&server.context, &verdict))
+}
+
+async fn key_end(
+    server: web::Data<Server>,
+    body: web::Bytes,
+) -> Result<HttpResponse, actix_web::Error> {
+    let message: idempotency::End = decode(&server.context, &body)?;
+    match server.idempotency.send(message).await {
+        Ok(ended) => Ok(encode(&server.context, &ended)),
+        Err(_) => Ok(HttpResponse::ServiceUnavailable().finish()),
+    }
+}
+
+async fn key_handover(
+    server: web::Data<Server>,
+    body: web::Bytes,
+) -> Result<HttpResponse, actix_web::Error> {
+    let message = decode(&server.context, &body)?;
+    match server
+        .idempotency
+        .send(idempotency::Handover(message))
+        .await
+    {
+        Ok(incarnation) => Ok(encode(&server.context, &incarnation)),
+        Err(_) => Ok(HttpResponse::ServiceUnavailable().finish()),
+    }
 }
 
 /// Adds the paths of the peer port.
-pub fn configure(config: &mut web::ServiceConfig) {
+pub(crate) fn configure(config: &mut web::ServiceConfig) {
     config
         .app_data(web::PayloadConfig::new(LARGEST_BYTES))
         .route("/peer/v1/acquire", web::post().to(acquire))
         .route("/peer/v1/await", web::post().to(wait))
-        .route("/peer/v1/identity", web::post().to(identity))
+        .route("/peer/v1/membership", web::post().to(membership))
+        .route("/peer/v1/version", web::post().to(ask_version))
+        .route("/peer/v1/text", web::post().to(ask_text))
+        .route("/peer/v1/offer", web::post().to(offer))
+        .route("/peer/v1/key-begin", web::post().to(key_begin))
+        .route("/peer/v1/key-end", web::post().to(key_end))
+        .route("/peer/v1/key-handover", web::post().to(key_handover))
         .route("/peer/v1/report", web::post().to(report));
 }
--- a/crates/dotterelhinge/src/wire.rs
+++ b/crates/dotterelhinge/src/wire.rs
@@ -6,21 +6,28 @@
 //! | `/peer/v1/acquire` | [`Acquire`] | [`Answer`] |
 //! | `/peer/v1/await` | [`Await`] | [`Answer`] |
 //! | `/peer/v1/report` | [`Report`] | [`Receipt`] |
+//! | `/peer/v1/membership` | `membership::Message` | `membership::Message` |
+//! | `/peer/v1/version` | nothing | `configuration::Version` or nothing |
+//! | `/peer/v1/text` | nothing | [`Whole`] or nothing |
+//! | `/peer/v1/offer` | [`Offer`] | nothing |
+//! | `/peer/v1/key-begin` | `idempotency::Begin` | `idempotency::Verdict` |
+//! | `/peer/v1/key-end` | `End` | `idempotency::Ended` |
+//! | `/peer/v1/key-handover` | `idempotency::Handover` | incarnation of the receiver |
 //!
 //! Durations are whole milliseconds unless a name says otherwise.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
-use dotterelhinge_policy::{health, placement};
+use dotterelhinge_policy::{configuration, health, placement};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 /// Content type of every message.
-pub const CONTENT_TYPE: &str = "application/msgpack";
+pub(crate) const CONTENT_TYPE: &str = "application/msgpack";
 
 /// Asks the coordinator of a service for a slot.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Acquire {
+pub(crate) struct Acquire {
     /// Name of the service.
     pub service: Arc<str>,
     /// Name of the request class.
@@ -41,7 +48,7 @@
 
 /// Goes on waiting for a slot after [`Answer::Queued`].
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Await {
+pub(crate) struct Await {
     /// Name of the service.
     pub service: Arc<str>,
     /// Ticket of the waiting request.
@@ -50,7 +57,7 @@
 
 /// A slot handed out.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Grant {
+pub(crate) struct Grant {
     /// Term of the coordinator.
     pub term: u64,
     /// Number of the grant within the term.
@@ -65,7 +72,7 @@
 
 /// Answer to [`Acquire`] and [`Await`].
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub enum Answer {
+pub(crate) enum Answer {
     /// A slot.
     Granted(Grant),
     /// No slot yet; ask again with the ticket.
@@ -81,7 +88,7 @@
 
 /// One thing that a holder of grants reports.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub enum Entry {
+pub(crate) enum Entry {
     /// An attempt ended.
     Settle {
         /// Name of the service.
@@ -130,6 +137,13 @@
         /// The view.
         view: health::View,
     },
+    /// The platform's host list says that an upstream is leaving.
+    Leaving {
+        /// Name of the service.
+        service: Arc<str>,
+        /// Name of the upstream.
+        upstream: Arc<str>,
+    },
     /// All grants that the host holds for a service.
     Renew {
         /// Name of the service.
@@ -143,7 +157,7 @@
 
 /// What a holder of grants tells a coordinator.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Report {
+pub(crate) struct Report {
     /// The holder.
     pub host: Arc<str>,
     /// The entries, in order.
@@ -152,7 +166,7 @@
 
 /// State of one service at its coordinator.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Standing {
+pub(crate) struct Standing {
     /// Name of the service.
     pub service: Arc<str>,
     /// Current term.
@@ -163,7 +177,29 @@
 
 /// Answer to [`Report`]: the state of each service that it renewed.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub struct Receipt {
+pub(crate) struct Receipt {
     /// One entry for each service.
     pub standings: Vec<Standing>,
 }
+
+/// Offers a version of the text.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Offer {
+    /// Peer address of the sender.
+    pub(crate) from: SocketAddr,
+    /// The version.
+    pub(crate) version: configuration::Version,
+    /// Version that `delta` starts from, or 0 without a delta.
+    pub(crate) base: u64,
+    /// JSON Patch from the base to the version.
+    pub(crate) delta: Vec<u8>,
+}
+
+/// A whole text.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Whole {
+    /// Its version.
+    pub(crate) version: configuration::Version,
+    /// Canonical JSON in gzip form.
+    pub(crate) gzip: Vec<u8>,
+}
--- a/crates/policy/src/placement/coordinator.rs
+++ b/crates/policy/src/placement/coordinator.rs
@@ -64,6 +64,7 @@
     rng: SmallRng,
     next: Id,
     ticked: Instant,
+    observations: u64,
     /// Whether the slots of an upstream that stays are reduced by its health.
     reduced: bool,
 }
@@ -99,6 +100,7 @@
             rng,
             next: (settings.term << TERM_SHIFT) | offset,
             ticked: now,
+            observations: 0,
             reduced: false,
             settings,
             service,
@@ -129,6 +131,16 @@
         self.grants.len()
     }
 
+    /// Limits of this coordinator.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Outcomes passed to the health of the upstreams so far.
+    pub fn observations(&self) -> u64 {
+        self.observations
+    }
+
     /// Term of this coordinator.
     pub fn term(&self) -> u64 {
         self.settings.term
@@ -136,9 +148,10 @@
 
     /// Time by which the next [`Event::Tick`] is due, if nothing else happens.
     pub fn next_wake(&self) -> Option<Instant> {
-        let health = self
-            .reduced
-            .then(|| self.ticked + self.settings.health_tick);
+        // Without grants there is no evidence, and without reduced slots there
+        // is nothing to restore.
+        let judged = self.reduced || self.grants.len() > 0;
+        let health = judged.then(|| self.ticked + self.settings.health_tick);
         [self.queue.next_wake(), self.grants.next_wake(), health]
             .into_iter()
             .flatten()
@@ -190,15 +203,23 @@
             Event::Leaving(name) => {
                 if let Some(&upstream) = self.names.get(&name) {
                     let changes = self.health.mark_leaving(upstream);
-                    self.leaving[upstream] = true;
-                    self.refresh(now, upstream);
                     self.take_changes(now, changes, &mut actions);
-                    self.refuse_impossible(&mut actions);
+                }
+            }
+            Event::Returned(name) => {
+                if let Some(&upstream) = self.names.get(&name)
+                    && !self.service.upstreams[upstream].leaving
+                {
+                    self.health.mark_returned(now, upstream);
+                    self.index();
+                    self.refresh_all(now);
                 }
             }
             Event::Adopt(view) => {
                 let changes = self.health.inherit(now, &view);
                 self.take_changes(now, changes, &mut actions);
+                // Ejections taken over are no changes of this term.
+                self.index();
                 self.refresh_all(now);
             }
             Event::Tick => {
@@ -222,21 +243,19 @@
         changes: Vec<health::Change>,
         actions: &mut Vec<Action>,
     ) {
-        for change in changes {
-            let upstream = change.upstream();
-            if matches!(change, health::Change::Leaving { .. }) {
-                self.leaving[upstream] = true;
-            }
-            self.refresh(now, upstream);
-            actions.push(Action::Log(change));
+        // A change may concern one class or all, so all are entered anew;
+        // changes are rare.
+        if !changes.is_empty() {
+            self.index();
+            self.refresh_all(now);
+            self.refuse_impossible(actions);
         }
+        actions.extend(changes.into_iter().map(Action::Log));
     }
 
     fn refresh(&mut self, now: Instant, upstream: usize) {
         let full = self.service.upstreams[upstream].slots;
-        let reduced = self
-            .pool
-            .update(now, upstream, full, &self.health, &mut self.rng);
+        let reduced = self.pool.update(now, upstream, full, &self.health);
         self.reduced |= reduced && !self.leaving[upstream];
         if self.accounts.resize(self.pool.open()) {
             for customer in self.queue.customers() {
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -67,6 +67,8 @@
     Unfenced,
     /// The idempotency key is older than the repeat window.
     KeyTooOld,
+    /// The idempotency key claims to be made in the future.
+    KeyTooNew,
     /// The idempotency key was used for another request.
     KeyMismatch,
     /// The deadline passed.
@@ -85,7 +87,7 @@
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::BadRequest,
         Self::NoRoute,
         Self::TooLarge,
@@ -98,6 +100,7 @@
         Self::UpstreamShed,
         Self::Unfenced,
         Self::KeyTooOld,
+        Self::KeyTooNew,
         Self::KeyMismatch,
         Self::Deadline,
         Self::BrokenAnswer,
@@ -122,6 +125,7 @@
             Self::UpstreamShed => ("upstream-shed", 503, NotRun),
             Self::Unfenced => ("unfenced", 503, NotRun),
             Self::KeyTooOld => ("key-too-old", 422, NotRun),
+            Self::KeyTooNew => ("key-too-new", 422, NotRun),
             Self::KeyMismatch => ("key-mismatch", 422, NotRun),
             Self::Deadline => ("deadline", 504, Unknown),
             Self::BrokenAnswer => ("broken-answer", 502, Unknown),
@@ -215,7 +219,7 @@
     attempts: u32,
     excluded: Excluded,
     /// Kind of the last attempt that may have run the request.
-    doubt: Option<Kind>,
+    maybe_run: Option<Kind>,
     last: Option<Kind>,
 }
 
@@ -223,10 +227,10 @@
     /// An attempt that may have run decides both kind and outcome, so that the
     /// caller never reads a kind of the not-run half of the table for it.
     fn fail(&self, kind: Kind) -> Decision {
-        let (kind, outcome) = match (kind, self.doubt) {
+        let (kind, outcome) = match (kind, self.maybe_run) {
             (Kind::Deadline, Some(_)) => (kind, Outcome::Unknown),
             (Kind::Deadline, None) => (kind, Outcome::NotRun),
-            (_, Some(doubt)) => (doubt, Outcome::Unknown),
+            (_, Some(kind)) => (kind, Outcome::Unknown),
             (_, None) => (kind, kind.outcome()),
         };
         Decision::Fail { kind, outcome }
@@ -245,7 +249,7 @@
             limit: class.attempts,
             attempts: 0,
             excluded: Excluded::new(),
-            doubt: None,
+            maybe_run: None,
             last: None,
         })
     }
@@ -288,7 +292,7 @@
             Ended::Answered => return Decision::Deliver,
             Ended::NotRun(kind) => (kind, true),
             Ended::Unknown(kind) => {
-                history.doubt = Some(kind);
+                history.maybe_run = Some(kind);
                 (kind, history.repeatable)
             }
         };
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -30,13 +30,17 @@
 # Costs
 
 The backend stand-in keeps one record entry per request that it began, until
-`POST /reset`.
+`POST /reset`. The caller keeps one entry per request that it sent.
 */
 
 pub mod backend;
+pub mod caller;
+pub mod check;
 pub mod client;
+pub mod fleet;
 pub mod http;
 pub mod platform;
+pub mod plot;
 pub mod process;
 pub mod program;
 pub mod relay;
