--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod caller;
 pub mod check;
 pub mod client;
+pub mod experiment;
 pub mod fleet;
 pub mod http;
 pub mod platform;
