--- a/crates/dotterelhinge/src/coordinator.rs
+++ b/crates/dotterelhinge/src/coordinator.rs
@@ -28,6 +28,14 @@
 /// restarted in place no longer drains.
 const DEPARTURE: Duration = Duration::from_secs(60);
 
+/// Period in which holds, trials and ramps are advanced.
+const HEALTH_TICK: Duration = Duration::from_millis(100);
+
+/// A daemon that the member list has not named for this long gives a duty up.
+/// Holders have moved their grants by then, and a short disagreement of member
+/// lists does not restart the term.
+const STEP_DOWN: Duration = Duration::from_secs(10);
+
 /// Period of the timer that expires waiting requests.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -42,6 +50,9 @@
     term: u64,
     version: u64,
     tickets: HashMap<u64, Ticket>,
+    ticked: Instant,
+    // When the member list last named this daemon.
+    named: Instant,
     // When a departure was last signalled, but for those in the text.
     leaving: HashMap<Arc<str>, Instant>,
 }
@@ -99,6 +110,8 @@
                     term,
                     version: in_force.version,
                     tickets: HashMap::new(),
+                    ticked: now,
+                    named: now,
                     leaving: HashMap::new(),
                 },
             );
@@ -168,14 +181,46 @@
 
     fn tick(&mut self) {
         let now = self.context.clock.now();
+        self.step_down(now);
         let services: Vec<_> = self.duties.keys().cloned().collect();
         for service in services {
             self.expire(now, &service);
             self.return_upstreams(now, &service);
-            self.handle_event(&service, placement::Event::Tick);
+            let due = self.duties.get_mut(&service).is_some_and(|duty| {
+                let wake = duty.policy.next_wake();
+                let due = wake.is_some_and(|wake| wake <= now)
+                    || now.duration_since(duty.ticked) >= HEALTH_TICK;
+                if due {
+                    duty.ticked = now;
+                }
+                due
+            });
+            if due {
+                self.handle_event(&service, placement::Event::Tick);
+            }
         }
     }
 
+    /// Ends duties that the member list has given to another daemon for a
+    /// while. Its state would be stale if the duty came back.
+    fn step_down(&mut self, now: Instant) {
+        let context = &self.context;
+        let members = context.members.load();
+        self.duties.retain(|service, duty| {
+            let named = members
+                .coordinator(service)
+                .is_some_and(|member| member.host == context.settings.host);
+            if named {
+                duty.named = now;
+            }
+            let kept = now.duration_since(duty.named) < STEP_DOWN;
+            if !kept {
+                log::info!(event = "coordinator_stopped", service = &**service, term = duty.term; "another daemon coordinates the service");
+            }
+            kept
+        });
+    }
+
     /// Gives up tickets whose holder went away.
     fn expire(&mut self, now: Instant, service: &Arc<str>) {
         let Some(duty) = self.duties.get_mut(service) else {
@@ -187,18 +232,20 @@
             .filter(|(_, ticket)| now.duration_since(ticket.seen) > TICKET_SILENCE)
             .map(|(number, _)| *number)
             .collect();
+        let mut events = Vec::new();
         for number in silent {
-            let event = match duty.tickets.remove(&number).and_then(|t| t.answer) {
-                Some(wire::Answer::Granted(grant)) => placement::Event::Settle {
+            match duty.tickets.remove(&number).and_then(|t| t.answer) {
+                Some(wire::Answer::Granted(grant)) => events.push(placement::Event::Settle {
                     grant: grant.grant,
                     outcome: health::Outcome::Neutral,
                     elapsed: Duration::ZERO,
-                },
-                Some(_) => continue,
-                None => placement::Event::Abandon(number),
-            };
+                }),
+                Some(_) => {}
+                None => events.push(placement::Event::Abandon(number)),
+            }
+        }
+        for event in events {
             self.handle_event(service, event);
-            return;
         }
     }
 }
@@ -333,11 +380,28 @@
     type Result = MessageResult<Report>;
 
     fn handle(&mut self, Report(report): Report, _: &mut Self::Context) -> Self::Result {
-        let mut receipt = wire::Receipt::default();
+        let mut services: Vec<Arc<str>> = Vec::new();
         for entry in report.entries {
-            self.take(&report.host, entry, &mut receipt);
+            let service = entry.service();
+            if !services.contains(service) {
+                services.push(Arc::clone(service));
+            }
+            self.take(&report.host, entry);
         }
-        MessageResult(receipt)
+        // Every holder hears of ejections with its reports, so that it keeps
+        // to them if this coordinator becomes unreachable.
+        let standings = services
+            .into_iter()
+            .filter_map(|service| {
+                let duty = self.duties.get(&service)?;
+                Some(wire::Standing {
+                    term: duty.term,
+                    view: duty.policy.health().view(),
+                    service,
+                })
+            })
+            .collect();
+        MessageResult(wire::Receipt { standings })
     }
 }
 
@@ -353,7 +417,7 @@
             .is_some_and(|current| term == current || term == 0)
     }
 
-    fn take(&mut self, host: &Arc<str>, entry: wire::Entry, receipt: &mut wire::Receipt) {
+    fn take(&mut self, host: &Arc<str>, entry: wire::Entry) {
         match entry {
             wire::Entry::Settle {
                 service,
@@ -387,7 +451,6 @@
                     elapsed: Duration::from_micros(elapsed_us),
                 },
             ),
-            wire::Entry::Settle { .. } | wire::Entry::Overdue { .. } => {}
             wire::Entry::Inherit {
                 service,
                 upstream,
@@ -421,7 +484,18 @@
                 service,
                 term,
                 grants,
-            } => self.renew(host, service, term, grants, receipt),
+            } if self.current(&service, term) => self.handle_event(
+                &service,
+                placement::Event::Renew {
+                    host: Arc::clone(host),
+                    grants,
+                },
+            ),
+            wire::Entry::Settle { .. }
+            | wire::Entry::Overdue { .. }
+            | wire::Entry::Renew { .. } => {
+                // Of a term that has ended.
+            }
         }
     }
 
@@ -451,32 +525,6 @@
             self.handle_event(service, placement::Event::Returned(upstream));
         }
     }
-
-    fn renew(
-        &mut self,
-        host: &Arc<str>,
-        service: Arc<str>,
-        term: u64,
-        grants: Vec<u64>,
-        receipt: &mut wire::Receipt,
-    ) {
-        if self.current(&service, term) {
-            self.handle_event(
-                &service,
-                placement::Event::Renew {
-                    host: Arc::clone(host),
-                    grants,
-                },
-            );
-        }
-        if let Some(duty) = self.duties.get(&service) {
-            receipt.standings.push(wire::Standing {
-                term: duty.term,
-                view: duty.policy.health().view(),
-                service,
-            });
-        }
-    }
 }
 
 /// Asks for the state of every upstream that this daemon coordinates.
--- a/crates/dotterelhinge/src/entry/mod.rs
+++ b/crates/dotterelhinge/src/entry/mod.rs
@@ -130,6 +130,14 @@
     arrived: Instant,
 ) -> Result<Exchange, retry::Kind> {
     let context = &worker.context;
+    let head: usize = request
+        .headers()
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    if head > context.settings.max_header_bytes {
+        return Err(retry::Kind::TooLarge);
+    }
     let in_force = context
         .in_force
         .load_full()
--- a/crates/dotterelhinge/src/wire.rs
+++ b/crates/dotterelhinge/src/wire.rs
@@ -155,6 +155,20 @@
     },
 }
 
+impl Entry {
+    /// The service that the entry is about.
+    pub(crate) fn service(&self) -> &Arc<str> {
+        match self {
+            Entry::Settle { service, .. }
+            | Entry::Overdue { service, .. }
+            | Entry::Inherit { service, .. }
+            | Entry::Adopt { service, .. }
+            | Entry::Leaving { service, .. }
+            | Entry::Renew { service, .. } => service,
+        }
+    }
+}
+
 /// What a holder of grants tells a coordinator.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct Report {
@@ -175,7 +189,7 @@
     pub view: health::View,
 }
 
-/// Answer to [`Report`]: the state of each service that it renewed.
+/// Answer to [`Report`]: the state of each service that it names.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub(crate) struct Receipt {
     /// One entry for each service.
