Refuse dot segments in paths; refuse requests right after a pause

Cause: a backend server may resolve '/lookup/../order' after the route was chosen, so that an order would run under the terms of lookups. The first request after a pause could come before the tick that notices the pause.

Change: paths with dot segments, also encoded, are refused with 400; a request is refused if the control thread has not ticked for 2 s. /upstreams gains statistic, threshold, since_ms and reason.

Ruled out: resolving the segments; the backend server would still see another path than the one that was routed.

--- a/crates/dotterelhinge/src/context.rs
+++ b/crates/dotterelhinge/src/context.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant, UNIX_EPOCH},
 };
@@ -14,6 +14,10 @@
 
 use crate::{members, metrics, settings, text};
 
+/// A gap of this length between two ticks means that the process was paused.
+/// The failure detector uses the same length.
+const PAUSE: Duration = Duration::from_secs(2);
+
 /// A text in force.
 pub(crate) struct InForce {
     /// Version in the platform's table.
@@ -54,6 +58,9 @@
     pub metrics: metrics::Registry,
     stopping: AtomicBool,
     unchecked: AtomicBool,
+    started: Instant,
+    // Milliseconds from `started` to the last tick of the control thread.
+    ticked: AtomicU64,
 }
 
 impl Context {
@@ -68,6 +75,7 @@
             .duration_since(UNIX_EPOCH)
             .unwrap_or(Duration::ZERO)
             .as_millis() as u64;
+        let started = clock.now();
         Self {
             members: ArcSwap::from_pointee(members::List::default()),
             settings,
@@ -78,6 +86,8 @@
             metrics,
             stopping: AtomicBool::new(false),
             unchecked: AtomicBool::new(false),
+            started,
+            ticked: AtomicU64::new(0),
         }
     }
 
@@ -92,9 +102,19 @@
     }
 
     /// Whether the process was paused and has not yet compared its version
-    /// with a peer.
+    /// with a peer. The first request after a pause may come before the tick
+    /// that notices the pause, so the time since the last tick counts as well.
     pub(crate) fn unchecked(&self) -> bool {
-        self.unchecked.load(Ordering::Acquire)
+        let ticked = Duration::from_millis(self.ticked.load(Ordering::Acquire));
+        let silence = (self.clock.now() - self.started).saturating_sub(ticked);
+        silence >= PAUSE || self.unchecked.load(Ordering::Acquire)
+    }
+
+    /// Notes that the control thread runs.
+    pub(crate) fn tick(&self) {
+        let since = self.clock.now() - self.started;
+        self.ticked
+            .store(since.as_millis() as u64, Ordering::Release);
     }
 
     /// Sets whether a comparison after a pause is due.
--- a/crates/dotterelhinge/src/coordinator.rs
+++ b/crates/dotterelhinge/src/coordinator.rs
@@ -50,6 +50,8 @@
     term: u64,
     version: u64,
     tickets: HashMap<u64, Ticket>,
+    // The last change of each upstream and class, or of all its classes.
+    changes: HashMap<(usize, Option<usize>), (Instant, health::Change)>,
     ticked: Instant,
     // When the member list last named this daemon.
     named: Instant,
@@ -110,6 +112,7 @@
                     term,
                     version: in_force.version,
                     tickets: HashMap::new(),
+                    changes: HashMap::new(),
                     ticked: now,
                     named: now,
                     leaving: HashMap::new(),
@@ -119,6 +122,8 @@
         let duty = self.duties.get_mut(service)?;
         if duty.version != in_force.version {
             duty.version = in_force.version;
+            // Indices may stand for other upstreams and classes from now on.
+            duty.changes.clear();
             let actions = duty.policy.configure(
                 now,
                 Arc::clone(contract),
@@ -287,6 +292,8 @@
                 }
                 placement::Action::Log(change) => {
                     events::health(contract, &in_force.snapshot.classes, &change);
+                    let concerns = (change.upstream(), change.class());
+                    self.changes.insert(concerns, (now, change));
                 }
             }
         }
@@ -578,7 +585,16 @@
                 } else {
                     "healthy"
                 };
+                let (statistic, threshold) = health.evidence(index, class);
+                let change = [Some(class), None]
+                    .into_iter()
+                    .filter_map(|class| self.changes.get(&(index, class)))
+                    .max_by_key(|(at, _)| *at);
                 rows.push(serde_json::json!({
+                    "statistic": statistic,
+                    "threshold": threshold,
+                    "since_ms": change.map(|(at, _)| now.duration_since(*at).as_millis() as u64),
+                    "reason": change.map(|(_, change)| events::reason(change)),
                     "service": name,
                     "upstream": upstream.name,
                     "class": terms.name,
--- a/crates/dotterelhinge/src/entry/headers.rs
+++ b/crates/dotterelhinge/src/entry/headers.rs
@@ -52,3 +52,12 @@
         .filter(|id| !id.is_empty() && id.len() <= REQUEST_ID_BYTES)
         .map_or_else(|| uuid::Uuid::now_v7().to_string(), str::to_owned)
 }
+
+/// Whether a path has no dot segments. A backend server may resolve them after
+/// the route was chosen, so that a request would run under another class.
+pub(super) fn is_resolved(path: &str) -> bool {
+    path.split(['/', '\\']).all(|segment| {
+        let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+        plain != "." && plain != ".." && !plain.contains("%2f") && !plain.contains("%5c")
+    })
+}
--- a/crates/dotterelhinge/src/entry/mod.rs
+++ b/crates/dotterelhinge/src/entry/mod.rs
@@ -138,6 +138,9 @@
     if head > context.settings.max_header_bytes {
         return Err(retry::Kind::TooLarge);
     }
+    if !headers::is_resolved(request.uri().path()) {
+        return Err(retry::Kind::BadRequest);
+    }
     let in_force = context
         .in_force
         .load_full()
--- a/crates/dotterelhinge/src/events.rs
+++ b/crates/dotterelhinge/src/events.rs
@@ -58,3 +58,19 @@
         }
     }
 }
+
+/// A change in a few words, for operators.
+pub(crate) fn reason(change: &Change) -> String {
+    match change {
+        Change::Ejected { evidence, .. } => {
+            format!("failures: {:.1} of {:.1}", evidence.0, evidence.1)
+        }
+        Change::UpstreamEjected {
+            cause, evidence, ..
+        } => format!("{cause:?}: {:.1} of {:.1}", evidence.0, evidence.1).to_lowercase(),
+        Change::FloorHeld { .. } | Change::UpstreamFloorHeld { .. } => "held by the floor".into(),
+        Change::Trial { .. } | Change::UpstreamTrial { .. } => "trial".into(),
+        Change::Readmitted { .. } | Change::UpstreamReadmitted { .. } => "readmitted".into(),
+        Change::Leaving { .. } => "leaving".into(),
+    }
+}
--- a/crates/dotterelhinge/src/membership.rs
+++ b/crates/dotterelhinge/src/membership.rs
@@ -144,7 +144,12 @@
         self.publish();
         let seeds = self.context.settings.seeds.clone();
         self.take(ctx, policy::Event::Seeds(seeds));
-        ctx.run_interval(TICK, |actor, ctx| actor.take(ctx, policy::Event::Tick));
+        ctx.run_interval(TICK, |actor, ctx| {
+            // First the detector: it may find a pause, which must be known
+            // before the context counts as ticking again.
+            actor.take(ctx, policy::Event::Tick);
+            actor.context.tick();
+        });
     }
 }
 
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -238,6 +238,11 @@
             .fold(0.0, f64::max)
     }
 
+    /// Statistic and threshold of `class` on `upstream`.
+    pub fn evidence(&self, upstream: usize, class: usize) -> (f64, f64) {
+        self.channels[class].evidence(upstream)
+    }
+
     /// Time after which an attempt of `class` counts as slow.
     pub fn slow_after(&self, class: usize) -> Duration {
         self.latencies[class].limit()
--- a/crates/policy/src/health/event.rs
+++ b/crates/policy/src/health/event.rs
@@ -146,4 +146,19 @@
             | Change::Leaving { upstream } => *upstream,
         }
     }
+
+    /// Index of the class that changed, or `None` for all classes.
+    pub fn class(&self) -> Option<usize> {
+        match self {
+            Change::Ejected { class, .. }
+            | Change::FloorHeld { class, .. }
+            | Change::Trial { class, .. }
+            | Change::Readmitted { class, .. } => Some(*class),
+            Change::UpstreamEjected { .. }
+            | Change::UpstreamFloorHeld { .. }
+            | Change::UpstreamTrial { .. }
+            | Change::UpstreamReadmitted { .. }
+            | Change::Leaving { .. } => None,
+        }
+    }
 }
--- a/crates/standin/tests/path.rs
+++ b/crates/standin/tests/path.rs
@@ -35,3 +35,28 @@
         }
     }
 }
+
+/// Guards against a path that the route table and a backend server read
+/// differently, so that an order would run under the terms of lookups.
+#[googletest::test]
+fn paths_with_dot_segments_are_refused() {
+    let fleet = fleet::Fleet::start(&fleet::Options {
+        daemons: 1,
+        ..fleet::Options::default()
+    });
+    for path in [
+        "/lookup/../order/1",
+        "/lookup/%2e%2e/order/1",
+        "/lookup/.%2E/order/1",
+        "/lookup/./1",
+        "/lookup/..%2forder/1",
+        "/lookup/..\\order",
+    ] {
+        let answer = client::request(&fleet.daemons[0].listen, "GET", path, &[], b"", PATIENCE);
+        expect_that!(answer.unwrap().status, eq(400), "{path}");
+    }
+    let record = fleet.record();
+    expect_that!(record["entries"].as_array().unwrap().len(), eq(0));
+    let answer = client::get(&fleet.daemons[0].listen, "/lookup/a.b/..c").unwrap();
+    expect_that!(answer.status, eq(200));
+}
