Name IPv6 addresses without brackets in the schema

Change: reworded the description and regenerated the types.

Measured: cargo doc with -D warnings passes for both crates; the test of the generated files passes.

--- a/crates/dotterelhinge/src/border/text.rs
+++ b/crates/dotterelhinge/src/border/text.rs
@@ -177,7 +177,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Upstream {
-    ///IP address and port, as in 10.0.0.1:8080 or [fd00::1]:8080; unique within the text.
+    ///IP address and port, as in 10.0.0.1:8080, with brackets around an IPv6 address; unique within the text.
     pub address: ::std::string::String,
     ///Name of the availability zone that the server is in.
     pub availability_zone: ::std::string::String,
