--- a/crates/standin/src/fleet/load.rs
+++ b/crates/standin/src/fleet/load.rs
@@ -102,6 +102,11 @@
 }
 
 impl Daemon {
+    /// Status of an answer to a caller, 0 without an answer.
+    pub fn call(&self, path: &str) -> u16 {
+        client::get(&self.listen, path).map_or(0, |answer| answer.status)
+    }
+
     /// Log lines of the running process in the order of writing.
     pub fn log(&self) -> Vec<Value> {
         let output = self.process.as_ref().map(|process| process.output());
@@ -217,6 +222,13 @@
         );
     }
 
+    /// A counter of the platform stand-in.
+    pub fn platform_counter(&self, name: &str) -> u64 {
+        let answer = client::get(self.platform.listening(), "/counters");
+        let answer = answer.expect("the platform answers").json();
+        answer[name].as_u64().expect("the counter is known")
+    }
+
     /// Current time of the record in milliseconds.
     pub fn record_ms(&self) -> f64 {
         // Clearing the faults of a class that has none changes nothing.
