Cancel requests for slots that nobody waits for any more

Cause: a caller that went away, or an entry daemon that gave up on a slow answer, left its request in the coordinator's queue. Its grant held the slot until the ticket was silent for 1 s or the next renewal.

Ruled out: a longer wait for the coordinator alone; the lost grants stay.

Change: every request for a slot has a number, and the ledger cancels it if it was not answered.

--- a/crates/dotterelhinge/src/configuration.rs
+++ b/crates/dotterelhinge/src/configuration.rs
@@ -1,6 +1,6 @@
 //! The actor that keeps the text in force and spreads new versions.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use actix::prelude::*;
 use actix_web::web;
@@ -357,13 +357,9 @@
 
     fn started(&mut self, ctx: &mut Self::Context) {
         self.client = Some(peer::Client::new(Arc::clone(&self.context)));
-        self.platform = self.context.settings.platform.as_ref().map(|base| {
-            platform::Client::new(
-                Rc::new(platform::Http::new(base, platform::Limits::default())),
-                Arc::clone(&self.context.clock),
-                platform::Settings::default(),
-            )
-        });
+        let base = self.context.settings.platform.as_ref();
+        self.platform =
+            base.map(|base| platform::Client::connect(base, Arc::clone(&self.context.clock)));
         ctx.run_interval(TICK, |actor, ctx| actor.take(ctx, policy::Event::Tick));
     }
 }
--- a/crates/dotterelhinge/src/coordinator.rs
+++ b/crates/dotterelhinge/src/coordinator.rs
@@ -1,6 +1,8 @@
 //! The actor that runs the coordinators of the services this daemon is
 //! responsible for.
 
+mod duty;
+
 use std::{
     collections::HashMap,
     sync::Arc,
@@ -8,10 +10,9 @@
 };
 
 use actix::prelude::*;
-use dotterelhinge_policy::{health, placement};
-use tokio::sync::oneshot;
+use dotterelhinge_policy::placement;
 
-use crate::{context, events, text, wire};
+use crate::{context, wire};
 
 /// An acquire is answered within this time, if only with `Queued`, so that a
 /// caller can tell a full service from a paused coordinator.
@@ -20,49 +21,13 @@
 /// An await is answered within this time.
 pub(crate) const NEXT_ANSWER: Duration = Duration::from_millis(250);
 
-/// A ticket that nobody awaits for this long is abandoned.
-const TICKET_SILENCE: Duration = Duration::from_secs(1);
-
-/// An upstream whose departure was not signalled again for this long is taken
-/// back: the host list repeats its sign every second, and a server that was
-/// restarted in place no longer drains.
-const DEPARTURE: Duration = Duration::from_secs(60);
-
-/// Period in which holds, trials and ramps are advanced.
-const HEALTH_TICK: Duration = Duration::from_millis(100);
-
-/// A daemon that the member list has not named for this long gives a duty up.
-/// Holders have moved their grants by then, and a short disagreement of member
-/// lists does not restart the term.
-const STEP_DOWN: Duration = Duration::from_secs(10);
-
 /// Period of the timer that expires waiting requests.
 const TICK: Duration = Duration::from_millis(10);
 
-struct Ticket {
-    waiter: Option<oneshot::Sender<wire::Answer>>,
-    answer: Option<wire::Answer>,
-    seen: Instant,
-}
-
-struct Duty {
-    policy: placement::Coordinator,
-    term: u64,
-    version: u64,
-    tickets: HashMap<u64, Ticket>,
-    // The last change of each upstream and class, or of all its classes.
-    changes: HashMap<(usize, Option<usize>), (Instant, health::Change)>,
-    ticked: Instant,
-    // When the member list last named this daemon.
-    named: Instant,
-    // When a departure was last signalled, but for those in the text.
-    leaving: HashMap<Arc<str>, Instant>,
-}
-
 /// Coordinators of this daemon, by service.
 pub(crate) struct Actor {
     context: Arc<context::Context>,
-    duties: HashMap<Arc<str>, Duty>,
+    duties: HashMap<Arc<str>, duty::Duty>,
     next_ticket: u64,
 }
 
@@ -77,61 +42,15 @@
     }
 
     /// The duty for `service`, started or brought to the text in force.
-    fn duty(&mut self, now: Instant, service: &Arc<str>) -> Option<&mut Duty> {
+    fn duty(&mut self, now: Instant, service: &Arc<str>) -> Option<&mut duty::Duty> {
         let in_force = self.context.in_force.load_full()?;
-        let snapshot = &in_force.snapshot;
-        let contract = &snapshot.services[snapshot.service(service)?];
+        let index = in_force.snapshot.service(service)?;
         if !self.duties.contains_key(service) {
-            let adopted = self
-                .context
-                .standing(service)
-                .map(|standing| standing.view)
-                .unwrap_or_default();
-            let term = self
-                .context
-                .clock
-                .wall()
-                .duration_since(std::time::UNIX_EPOCH)
-                .map_or(1, |since| since.as_millis() as u64);
-            log::info!(event = "coordinator_started", service = &**service, term = term; "coordinating a service");
-            self.duties.insert(
-                Arc::clone(service),
-                Duty {
-                    policy: placement::Coordinator::new(
-                        placement::Settings {
-                            term,
-                            seed: rand::random(),
-                            ..placement::Settings::default()
-                        },
-                        Arc::clone(contract),
-                        Arc::clone(&snapshot.classes),
-                        Arc::clone(&snapshot.customers),
-                        &adopted,
-                        now,
-                    ),
-                    term,
-                    version: in_force.version,
-                    tickets: HashMap::new(),
-                    changes: HashMap::new(),
-                    ticked: now,
-                    named: now,
-                    leaving: HashMap::new(),
-                },
-            );
+            let duty = duty::Duty::start(&self.context, &in_force, index, now);
+            self.duties.insert(Arc::clone(service), duty);
         }
         let duty = self.duties.get_mut(service)?;
-        if duty.version != in_force.version {
-            duty.version = in_force.version;
-            // Indices may stand for other upstreams and classes from now on.
-            duty.changes.clear();
-            let actions = duty.policy.configure(
-                now,
-                Arc::clone(contract),
-                Arc::clone(&snapshot.classes),
-                Arc::clone(&snapshot.customers),
-            );
-            duty.carry_out(now, &in_force, service, actions);
-        }
+        duty.configure(now, &in_force, index);
         Some(duty)
     }
 
@@ -140,11 +59,9 @@
         let Some(in_force) = self.context.in_force.load_full() else {
             return;
         };
-        let Some(duty) = self.duty(now, service) else {
-            return;
-        };
-        let actions = duty.policy.handle(now, event);
-        duty.carry_out(now, &in_force, service, actions);
+        if let Some(duty) = self.duty(now, service) {
+            duty.handle(now, &in_force, event);
+        }
     }
 
     fn class(&self, name: &str) -> Option<usize> {
@@ -159,22 +76,17 @@
         limit: Duration,
     ) -> ResponseFuture<wire::Answer> {
         let now = self.context.clock.now();
-        let Some(entry) = self
+        let waiting = self
             .duties
             .get_mut(service)
-            .and_then(|duty| duty.tickets.get_mut(&ticket))
-        else {
-            return Box::pin(std::future::ready(wire::Answer::NotCoordinator));
-        };
-        entry.seen = now;
-        if let Some(answer) = entry.answer.take() {
-            if let Some(duty) = self.duties.get_mut(service) {
-                duty.tickets.remove(&ticket);
+            .map_or(duty::Waiting::Gone, |duty| duty.wait(now, ticket));
+        let receiver = match waiting {
+            duty::Waiting::Gone => {
+                return Box::pin(std::future::ready(wire::Answer::NotCoordinator));
             }
-            return Box::pin(std::future::ready(answer));
-        }
-        let (sender, receiver) = oneshot::channel();
-        entry.waiter = Some(sender);
+            duty::Waiting::Answered(answer) => return Box::pin(std::future::ready(answer)),
+            duty::Waiting::Until(receiver) => receiver,
+        };
         Box::pin(async move {
             match tokio::time::timeout(limit, receiver).await {
                 Ok(Ok(answer)) => answer,
@@ -186,133 +98,24 @@
 
     fn tick(&mut self) {
         let now = self.context.clock.now();
-        self.step_down(now);
-        let services: Vec<_> = self.duties.keys().cloned().collect();
-        for service in services {
-            self.expire(now, &service);
-            self.return_upstreams(now, &service);
-            let due = self.duties.get_mut(&service).is_some_and(|duty| {
-                let wake = duty.policy.next_wake();
-                let due = wake.is_some_and(|wake| wake <= now)
-                    || now.duration_since(duty.ticked) >= HEALTH_TICK;
-                if due {
-                    duty.ticked = now;
-                }
-                due
-            });
-            if due {
-                self.handle_event(&service, placement::Event::Tick);
-            }
-        }
-    }
-
-    /// Ends duties that the member list has given to another daemon for a
-    /// while. Its state would be stale if the duty came back.
-    fn step_down(&mut self, now: Instant) {
-        let context = &self.context;
-        let members = context.members.load();
+        let members = self.context.members.load_full();
+        let me = &self.context.settings.host;
         self.duties.retain(|service, duty| {
             let named = members
                 .coordinator(service)
-                .is_some_and(|member| member.host == context.settings.host);
-            if named {
-                duty.named = now;
-            }
-            let kept = now.duration_since(duty.named) < STEP_DOWN;
-            if !kept {
-                log::info!(event = "coordinator_stopped", service = &**service, term = duty.term; "another daemon coordinates the service");
-            }
-            kept
+                .is_some_and(|member| member.host == *me);
+            duty.is_kept(now, service, named)
         });
-    }
-
-    /// Gives up tickets whose holder went away.
-    fn expire(&mut self, now: Instant, service: &Arc<str>) {
-        let Some(duty) = self.duties.get_mut(service) else {
-            return;
-        };
-        let silent: Vec<u64> = duty
-            .tickets
-            .iter()
-            .filter(|(_, ticket)| now.duration_since(ticket.seen) > TICKET_SILENCE)
-            .map(|(number, _)| *number)
-            .collect();
-        let mut events = Vec::new();
-        for number in silent {
-            match duty.tickets.remove(&number).and_then(|t| t.answer) {
-                Some(wire::Answer::Granted(grant)) => events.push(placement::Event::Settle {
-                    grant: grant.grant,
-                    outcome: health::Outcome::Neutral,
-                    elapsed: Duration::ZERO,
-                }),
-                Some(_) => {}
-                None => events.push(placement::Event::Abandon(number)),
-            }
-        }
-        for event in events {
-            self.handle_event(service, event);
-        }
-    }
-}
-
-impl Duty {
-    fn carry_out(
-        &mut self,
-        now: Instant,
-        in_force: &context::InForce,
-        service: &Arc<str>,
-        actions: Vec<placement::Action>,
-    ) {
-        let snapshot = &in_force.snapshot;
-        let Some(contract) = snapshot
-            .service(service)
-            .map(|index| &snapshot.services[index])
-        else {
+        let Some(in_force) = self.context.in_force.load_full() else {
             return;
         };
-        for action in actions {
-            match action {
-                placement::Action::Grant {
-                    ticket,
-                    grant,
-                    upstream,
-                    slow_after,
-                } => {
-                    let answer = wire::Answer::Granted(wire::Grant {
-                        term: self.term,
-                        grant,
-                        upstream: Arc::clone(&contract.upstreams[upstream].name),
-                        start_within_ms: self.policy.settings().start_within.as_millis() as u32,
-                        slow_after_ms: slow_after.as_millis() as u32,
-                    });
-                    self.answer(now, ticket, answer);
-                }
-                placement::Action::Refuse { ticket, reason } => {
-                    self.answer(now, ticket, wire::Answer::Refused(reason));
-                }
-                placement::Action::Log(change) => {
-                    events::health(contract, &in_force.snapshot.classes, &change);
-                    let concerns = (change.upstream(), change.class());
-                    self.changes.insert(concerns, (now, change));
-                }
+        let services: Vec<_> = self.duties.keys().cloned().collect();
+        for service in services {
+            if let Some(duty) = self.duty(now, &service) {
+                duty.tick(now, &in_force);
             }
         }
     }
-
-    fn answer(&mut self, now: Instant, number: u64, answer: wire::Answer) {
-        let Some(mut ticket) = self.tickets.remove(&number) else {
-            return;
-        };
-        let unsent = match ticket.waiter.take() {
-            Some(waiter) => waiter.send(answer).err(),
-            None => Some(answer),
-        };
-        if let Some(answer) = unsent {
-            ticket.answer = Some(answer);
-            ticket.seen = now;
-            self.tickets.insert(number, ticket);
-        }
-    }
 }
 
 impl actix::Actor for Actor {
@@ -342,14 +145,7 @@
         let Some(duty) = self.duty(now, &message.service) else {
             return Box::pin(std::future::ready(wire::Answer::NotCoordinator));
         };
-        duty.tickets.insert(
-            ticket,
-            Ticket {
-                waiter: None,
-                answer: None,
-                seen: now,
-            },
-        );
+        duty.open(now, ticket, Arc::clone(&message.host), message.request);
         let event = placement::Event::Acquire(placement::Acquire {
             ticket,
             class,
@@ -402,8 +198,8 @@
             .filter_map(|service| {
                 let duty = self.duties.get(&service)?;
                 Some(wire::Standing {
-                    term: duty.term,
-                    view: duty.policy.health().view(),
+                    term: duty.term(),
+                    view: duty.view(),
                     service,
                 })
             })
@@ -414,7 +210,7 @@
 
 impl Actor {
     fn term(&self, service: &Arc<str>) -> Option<u64> {
-        self.duties.get(service).map(|duty| duty.term)
+        self.duties.get(service).map(duty::Duty::term)
     }
 
     /// Whether a grant of `term` was handed out, or inherited, in the current
@@ -478,6 +274,7 @@
                     );
                 }
             }
+            wire::Entry::Cancel { service, request } => self.cancel(&service, host, request),
             wire::Entry::Leaving { service, upstream } => self.note_leaving(&service, upstream),
             wire::Entry::Adopt {
                 service,
@@ -510,26 +307,17 @@
         let now = self.context.clock.now();
         self.handle_event(service, placement::Event::Leaving(Arc::clone(&upstream)));
         if let Some(duty) = self.duties.get_mut(service) {
-            duty.leaving.insert(upstream, now);
+            duty.note_leaving(now, upstream);
         }
     }
 
-    /// Lets upstreams return whose departure was not signalled for a while.
-    fn return_upstreams(&mut self, now: Instant, service: &Arc<str>) {
-        let Some(duty) = self.duties.get_mut(service) else {
-            return;
-        };
-        let mut returned = Vec::new();
-        duty.leaving.retain(|upstream, signalled| {
-            let over = now.duration_since(*signalled) >= DEPARTURE;
-            if over {
-                returned.push(Arc::clone(upstream));
-            }
-            !over
-        });
-        for upstream in returned {
-            log::info!(event = "upstream_returned", service = &**service, upstream = &*upstream; "no sign of a departure any more");
-            self.handle_event(service, placement::Event::Returned(upstream));
+    fn cancel(&mut self, service: &Arc<str>, host: &Arc<str>, request: u64) {
+        let event = self
+            .duties
+            .get_mut(service)
+            .and_then(|duty| duty.cancel(host, request));
+        if let Some(event) = event {
+            self.handle_event(service, event);
         }
     }
 }
@@ -546,66 +334,10 @@
         let now = self.context.clock.now();
         let mut rows = Vec::new();
         if let Some(in_force) = self.context.in_force.load_full() {
-            for (name, duty) in &self.duties {
-                duty.inspect(now, &in_force.snapshot, name, &mut rows);
+            for duty in self.duties.values() {
+                duty.inspect(now, &in_force.snapshot, &mut rows);
             }
         }
         MessageResult(rows)
     }
 }
-
-impl Duty {
-    fn inspect(
-        &self,
-        now: Instant,
-        snapshot: &text::Snapshot,
-        name: &Arc<str>,
-        rows: &mut Vec<serde_json::Value>,
-    ) {
-        let Some(service) = snapshot
-            .service(name)
-            .map(|index| &snapshot.services[index])
-        else {
-            return;
-        };
-        let health = self.policy.health();
-        let view = health.view();
-        for (index, upstream) in service.upstreams.iter().enumerate() {
-            for (class, terms) in snapshot.classes.iter().enumerate() {
-                let ejected = view
-                    .ejected
-                    .iter()
-                    .any(|(u, c)| *u == upstream.name && *c == terms.name);
-                let state = if view.leaving.contains(&upstream.name) {
-                    "leaving"
-                } else if ejected {
-                    "ejected"
-                } else if health.slots(now, index, class) < upstream.slots {
-                    "readmitting"
-                } else {
-                    "healthy"
-                };
-                let (statistic, threshold) = health.evidence(index, class);
-                let change = [Some(class), None]
-                    .into_iter()
-                    .filter_map(|class| self.changes.get(&(index, class)))
-                    .max_by_key(|(at, _)| *at);
-                rows.push(serde_json::json!({
-                    "statistic": statistic,
-                    "threshold": threshold,
-                    "since_ms": change.map(|(at, _)| now.duration_since(*at).as_millis() as u64),
-                    "reason": change.map(|(_, change)| events::reason(change)),
-                    "service": name,
-                    "upstream": upstream.name,
-                    "class": terms.name,
-                    "state": state,
-                    "slots": health.slots(now, index, class),
-                    "in_use": self.policy.in_use().get(index).copied().unwrap_or(0),
-                    "suspicion": health.suspicion(index, class),
-                    "slow_after_ms": health.slow_after(class).as_millis() as u64,
-                    "term": self.term,
-                }));
-            }
-        }
-    }
-}
--- a/crates/dotterelhinge/src/entry/slot.rs
+++ b/crates/dotterelhinge/src/entry/slot.rs
@@ -140,6 +140,29 @@
     answer
 }
 
+/// A request for a slot. Unless it was answered, the coordinator is told that
+/// nobody waits any more, so that a slot granted meanwhile is not held for
+/// nothing until the next renewal.
+struct Asked {
+    worker: Rc<Worker>,
+    coordinator: Arc<str>,
+    service: Arc<str>,
+    request: u64,
+    answered: bool,
+}
+
+impl Drop for Asked {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.worker.ledger.do_send(ledger::Cancel {
+                coordinator: Arc::clone(&self.coordinator),
+                service: Arc::clone(&self.service),
+                request: self.request,
+            });
+        }
+    }
+}
+
 async fn ask(
     worker: &Rc<Worker>,
     exchange: &Exchange,
@@ -148,6 +171,13 @@
     let now = worker.context.clock.now();
     let settings = &worker.context.settings;
     let wait = exchange.class().queue.min(exchange.left(now));
+    let mut asked = Asked {
+        worker: Rc::clone(worker),
+        coordinator: Arc::clone(&member.host),
+        service: Arc::clone(&exchange.service().name),
+        request: Worker::next_attempt(),
+        answered: false,
+    };
     let message = wire::Acquire {
         service: Arc::clone(&exchange.service().name),
         class: Arc::clone(&exchange.class().name),
@@ -155,6 +185,7 @@
         host: Arc::clone(&settings.host),
         availability_zone: Arc::clone(&settings.availability_zone),
         wait_ms: wait.as_millis() as u32,
+        request: asked.request,
         attempt: exchange.attempts,
         excluded: worker
             .own
@@ -196,6 +227,7 @@
                 .ok()
         };
     }
+    asked.answered = answer.is_some();
     answer
 }
 
--- a/crates/dotterelhinge/src/ledger.rs
+++ b/crates/dotterelhinge/src/ledger.rs
@@ -82,6 +82,18 @@
     pub draining: bool,
 }
 
+/// A request for a slot is given up without an answer.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Cancel {
+    /// Host of the coordinator.
+    pub(crate) coordinator: Arc<str>,
+    /// Name of the service.
+    pub(crate) service: Arc<str>,
+    /// Number of the request.
+    pub(crate) request: u64,
+}
+
 /// An upstream is leaving, as the platform's host list says.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -341,3 +353,16 @@
         }
     }
 }
+
+impl Handler<Cancel> for Actor {
+    type Result = ();
+
+    fn handle(&mut self, cancel: Cancel, ctx: &mut Self::Context) {
+        let entry = wire::Entry::Cancel {
+            service: cancel.service,
+            request: cancel.request,
+        };
+        self.queue(&cancel.coordinator, entry);
+        self.flush(ctx, &cancel.coordinator);
+    }
+}
--- a/crates/dotterelhinge/src/platform/client.rs
+++ b/crates/dotterelhinge/src/platform/client.rs
@@ -127,6 +127,12 @@
 }
 
 impl Client {
+    /// A client of the platform at a base URL, with the usual limits.
+    pub(crate) fn connect(base: &str, clock: Arc<dyn clock::Clock>) -> Self {
+        let http = super::Http::new(base, super::Limits::default());
+        Self::new(Rc::new(http), clock, Settings::default())
+    }
+
     /// A client on top of `store`.
     pub fn new(store: Rc<dyn Store>, clock: Arc<dyn clock::Clock>, settings: Settings) -> Self {
         Self {
--- a/crates/dotterelhinge/src/wire.rs
+++ b/crates/dotterelhinge/src/wire.rs
@@ -40,8 +40,11 @@
     pub availability_zone: Arc<str>,
     /// Longest wait.
     pub wait_ms: u32,
+    /// Number of this request for a slot, unique at the host, for
+    /// [`Entry::Cancel`].
+    pub(crate) request: u64,
     /// Number of the attempt, from 1.
-    pub attempt: u32,
+    pub(crate) attempt: u32,
     /// Names of upstreams that must not be chosen.
     pub excluded: SmallVec<[Arc<str>; 4]>,
 }
@@ -137,6 +140,13 @@
         /// The view.
         view: health::View,
     },
+    /// The host no longer waits for a slot, or never saw the answer.
+    Cancel {
+        /// Name of the service.
+        service: Arc<str>,
+        /// Number of the request for a slot.
+        request: u64,
+    },
     /// The platform's host list says that an upstream is leaving.
     Leaving {
         /// Name of the service.
@@ -163,6 +173,7 @@
             | Entry::Overdue { service, .. }
             | Entry::Inherit { service, .. }
             | Entry::Adopt { service, .. }
+            | Entry::Cancel { service, .. }
             | Entry::Leaving { service, .. }
             | Entry::Renew { service, .. } => service,
         }
