--- a/crates/dotterelhinge/benches/text.rs
+++ b/crates/dotterelhinge/benches/text.rs
@@ -1,12 +1,15 @@
 //! Cost of texts with up to 62,000 routes, 120,000 customers and 40,000
 //! upstreams: time of parsing with compilation, of one lookup and of one
 //! delta, and the bytes on the heap as counted by the allocator.
+//!
+//! First one JSON line for each size of the routes, the customers and the
+//! upstreams alone, with times of a single run.
 
 use std::{
     alloc::{GlobalAlloc, Layout, System},
     hint::black_box,
     sync::atomic::{AtomicUsize, Ordering::Relaxed},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use criterion::{Criterion, Throughput};
@@ -41,18 +44,19 @@
 const SERVICES: usize = 2_200;
 const UPSTREAMS: usize = 40_000;
 const CUSTOMERS: usize = 120_000;
+const ROUTES: usize = 62_000;
 const ZONES: usize = 16;
 
-fn document(routes: usize) -> Value {
+fn document(routes: usize, customers: usize, upstreams: usize) -> Value {
     let zones: Vec<_> = (0..ZONES)
         .map(|zone| json!({"name": format!("zone-{zone}"), "region": format!("region-{}", zone % 5)}))
         .collect();
-    let customers: Vec<_> = (0..CUSTOMERS)
+    let customers: Vec<_> = (0..customers)
         .map(|customer| json!({"name": format!("customer-{customer:06}"), "slot_share": 0.25}))
         .collect();
     let services: Vec<_> = (0..SERVICES)
         .map(|service| {
-            let upstreams: Vec<_> = (service..UPSTREAMS)
+            let rows: Vec<_> = (service..upstreams)
                 .step_by(SERVICES)
                 .map(|upstream| {
                     json!({
@@ -63,7 +67,7 @@
                     })
                 })
                 .collect();
-            json!({"name": format!("service-{service}"), "floor": upstreams.len() / 2, "upstreams": upstreams})
+            json!({"name": format!("service-{service}"), "floor": rows.len() / 2, "upstreams": rows})
         })
         .collect();
     let rules: Vec<_> = (0..routes)
@@ -96,14 +100,57 @@
     format!("/v1/area-{}/part-{route}", route % 100)
 }
 
+/// Parses a text of this size and prints the bytes that it and one edit take.
+fn size(routes: usize, customers: usize, upstreams: usize) {
+    let mut value = document(routes, customers, upstreams);
+    let bytes = value.to_string().into_bytes();
+    let before = HELD.load(Relaxed);
+    PEAK.store(before, Relaxed);
+    let start = Instant::now();
+    let text = Text::parse(&bytes).expect("text is valid");
+    let parse = start.elapsed();
+    let (held, peak) = (HELD.load(Relaxed) - before, PEAK.load(Relaxed) - before);
+    value["routes"][0]["class"] = json!("lookup");
+    let next = Text::parse(value.to_string().as_bytes()).expect("text is valid");
+    let start = Instant::now();
+    let delta = text::delta(&text, &next);
+    let diff = start.elapsed();
+    let start = Instant::now();
+    text::apply(&text, &delta, next.hash()).expect("delta fits");
+    let apply = start.elapsed();
+    println!(
+        "{}",
+        json!({
+            "routes": routes, "customers": customers, "upstreams": upstreams,
+            "json": bytes.len(), "gzip": text.gzip().len(), "held": held, "peak": peak,
+            "delta": delta.len(), "parse_ms": parse.as_secs_f64() * 1e3,
+            "diff_ms": diff.as_secs_f64() * 1e3, "apply_ms": apply.as_secs_f64() * 1e3,
+        })
+    );
+}
+
+fn sizes() {
+    for routes in [1_000, 10_000, 30_000, ROUTES] {
+        size(routes, 100, SERVICES);
+    }
+    for customers in [1_000, 20_000, 60_000, CUSTOMERS] {
+        size(100, customers, SERVICES);
+    }
+    for upstreams in [100, 5_000, 20_000, UPSTREAMS] {
+        size(100, 100, upstreams);
+    }
+    size(ROUTES, CUSTOMERS, UPSTREAMS);
+}
+
 fn main() {
+    sizes();
     let mut criterion = Criterion::default()
         .sample_size(10)
         .warm_up_time(Duration::from_millis(500))
         .measurement_time(Duration::from_secs(3))
         .configure_from_args();
     for routes in [1_000, 10_000, 62_000] {
-        let mut value = document(routes);
+        let mut value = document(routes, CUSTOMERS, UPSTREAMS);
         let bytes = value.to_string().into_bytes();
         let before = HELD.load(Relaxed);
         PEAK.store(before, Relaxed);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -35,6 +35,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod capacity;
 pub mod check;
 pub mod client;
 pub mod fleet;
