--- a/crates/policy/examples/fleet_model.rs
+++ b/crates/policy/examples/fleet_model.rs
@@ -96,7 +96,8 @@
             "{count}\tcommon start\tall lists whole {:?} later",
             fleet.converge(count, seconds(120))
         );
-        fleet.run(seconds(60));
+        // Reports of the start are repeated for minutes, 12 to a message.
+        fleet.run(seconds(600));
         let quiet = traffic(&mut fleet, 60);
         print(count, "no change", quiet);
         fleet.start(1, member(1, 2_000));
--- a/crates/standin/src/bin/standin-capacity.rs
+++ b/crates/standin/src/bin/standin-capacity.rs
@@ -88,12 +88,14 @@
 
 fn sizes(seconds: u64) {
     let mut rows = Vec::new();
-    let (mut edits, mut starts) = (Vec::new(), Vec::new());
+    let (mut edits, mut starts, mut reads) = (Vec::new(), Vec::new(), Vec::new());
     for daemons in [6, 12, 24, 48] {
         let at = daemons as f64;
         let mut fleet = measure::start(&options(daemons));
+        let before = measure::platform(&fleet);
         let idle = measure::idle(&fleet, Duration::from_secs(seconds));
         report("idle by daemons", at, &idle.json());
+        platform("platform, idle", at, &fleet, before);
         rows.push((at, idle));
         for n in 0..EDITS {
             let share = 0.1 + n as f64 / 100.0;
@@ -107,7 +109,9 @@
             );
             edits.push((at, time.as_secs_f64()));
         }
+        let before = measure::platform(&fleet);
         let (ready, whole) = measure::restart(&mut fleet);
+        reads.push((at, platform("platform, common start", at, &fleet, before)));
         let figures = json!({"ready_s": ready.as_secs_f64(), "whole_s": whole.as_secs_f64()});
         report("start by daemons", at, &figures);
         starts.push((at, ready.as_secs_f64()));
@@ -118,9 +122,17 @@
         &logarithmic(&edits),
         3_800_f64.log2(),
     );
+    fitted("platform reads of a common start", &reads, 237.0);
     fitted("start by daemons of one machine", &starts, 48.0);
 }
 
+fn platform(kind: &str, at: f64, fleet: &fleet::Fleet, before: (f64, f64)) -> f64 {
+    let after = measure::platform(fleet);
+    let figures = json!({"reads": after.0 - before.0, "writes": after.1 - before.1});
+    report(kind, at, &figures);
+    after.0 - before.0
+}
+
 fn logarithmic(points: &[(f64, f64)]) -> Vec<(f64, f64)> {
     points.iter().map(|(x, y)| (x.log2(), *y)).collect()
 }
@@ -131,19 +143,39 @@
     let order = json!({"name": "order", "method": "POST", "path": "/order", "body_bytes": 300});
     let mut keyed = order.clone();
     keyed["key"] = json!("uuid7");
-    for (name, kind) in [("lookup", lookup), ("order", order), ("keyed order", keyed)] {
-        let mut rows = Vec::new();
-        for rate in [0.0, 5.0, 10.0, 20.0, 40.0] {
-            let used = if rate == 0.0 {
-                measure::idle(&fleet, Duration::from_secs(seconds))
-            } else {
-                measure::loaded(&fleet, &kind, rate, seconds)
-            };
-            report(&format!("{name} by rate"), rate, &used.json());
-            rows.push((used.requests, used));
-        }
-        columns(&format!("{name} by requests/s"), &rows, 258.0);
+    for (name, kind) in [
+        ("lookup", &lookup),
+        ("order", &order),
+        ("keyed order", &keyed),
+    ] {
+        by_rate(&fleet, name, kind, seconds);
+    }
+    drop(fleet);
+    // Without coordinators; the difference is the processor time of control.
+    let baseline = fleet::Options {
+        policy: "baseline",
+        ..options(12)
+    };
+    by_rate(
+        &measure::start(&baseline),
+        "baseline lookup",
+        &lookup,
+        seconds,
+    );
+}
+
+fn by_rate(fleet: &fleet::Fleet, name: &str, kind: &Value, seconds: u64) {
+    let mut rows = Vec::new();
+    for rate in [0.0, 5.0, 10.0, 20.0, 40.0] {
+        let used = if rate == 0.0 {
+            measure::idle(fleet, Duration::from_secs(seconds))
+        } else {
+            measure::loaded(fleet, kind, rate, seconds)
+        };
+        report(&format!("{name} by rate"), rate, &used.json());
+        rows.push((used.requests, used));
     }
+    columns(&format!("{name} by requests/s"), &rows, 258.0);
 }
 
 fn whole<const PERCENT: usize>(seconds: u64, rows: &mut Vec<(f64, Rates)>) {
--- a/crates/standin/src/capacity/measure.rs
+++ b/crates/standin/src/capacity/measure.rs
@@ -211,3 +211,11 @@
     thread::sleep(SETTLE);
     idle(fleet, time)
 }
+
+/// Reads and writes that the platform has served.
+pub fn platform(fleet: &fleet::Fleet) -> (f64, f64) {
+    let counters = client::get(fleet.platform.listening(), "/counters")
+        .map_or(Value::Null, |answer| answer.json());
+    let count = |name: &str| counters[name].as_f64().unwrap_or(f64::NAN);
+    (count("reads"), count("writes"))
+}
