--- a/crates/standin/src/bin/standin-capacity.rs
+++ b/crates/standin/src/bin/standin-capacity.rs
@@ -1,6 +1,6 @@
 //! Measures real fleets on loopback and prints one JSON line per figure.
 
-use std::time::Duration;
+use std::{thread, time::Duration};
 
 use clap::{Arg, Command, value_parser};
 use dotterelhinge_standin::{
@@ -31,7 +31,17 @@
         .subcommand(
             Command::new("sizes")
                 .about("Fleets of 6, 12, 24 and 48 daemons, idle, edited and restarted")
-                .arg(number("seconds", "30", "Seconds of each idle interval")),
+                .arg(number("seconds", "30", "Seconds of each idle interval"))
+                .arg(number("settle", "60", "Seconds before it"))
+                .arg(
+                    Arg::new("daemons")
+                        .long("daemons")
+                        .value_name("N")
+                        .num_args(1..)
+                        .default_values(["6", "12", "24", "48"])
+                        .value_parser(value_parser!(u16).range(1..))
+                        .help("Sizes of the fleets"),
+                ),
         )
         .subcommand(
             Command::new("rates")
@@ -86,12 +96,14 @@
     }
 }
 
-fn sizes(seconds: u64) {
+fn sizes(counts: &[usize], settle: u64, seconds: u64) {
     let mut rows = Vec::new();
     let (mut edits, mut starts, mut reads) = (Vec::new(), Vec::new(), Vec::new());
-    for daemons in [6, 12, 24, 48] {
+    for &daemons in counts {
         let at = daemons as f64;
         let mut fleet = measure::start(&options(daemons));
+        // Reports of the start are repeated for half a minute at 48 daemons.
+        thread::sleep(Duration::from_secs(settle));
         let before = measure::platform(&fleet);
         let idle = measure::idle(&fleet, Duration::from_secs(seconds));
         report("idle by daemons", at, &idle.json());
@@ -229,7 +241,15 @@
     };
     let seconds = matches.get_one::<u64>("seconds").copied().unwrap_or(10);
     match name {
-        "sizes" => sizes(seconds),
+        "sizes" => {
+            let settle = matches.get_one::<u64>("settle").copied().unwrap_or(60);
+            let counts: Vec<_> = matches
+                .get_many::<u16>("daemons")
+                .map_or_else(Vec::new, |counts| {
+                    counts.copied().map(usize::from).collect()
+                });
+            sizes(&counts, settle, seconds);
+        }
         "rates" => rates(seconds),
         _ => texts(seconds),
     }
