docs: correct the platform reads of a common start

Reads a second did not grow with the fleet from 6 to 48 daemons; a fit of the sum over 237 daemons mistook a longer start for a higher rate.

--- a/crates/standin/src/bin/standin-capacity.rs
+++ b/crates/standin/src/bin/standin-capacity.rs
@@ -123,7 +123,8 @@
         }
         let before = measure::platform(&fleet);
         let (ready, whole) = measure::restart(&mut fleet);
-        reads.push((at, platform("platform, common start", at, &fleet, before)));
+        let served = platform("platform, common start", at, &fleet, before);
+        reads.push((at, served / whole.as_secs_f64()));
         let figures = json!({"ready_s": ready.as_secs_f64(), "whole_s": whole.as_secs_f64()});
         report("start by daemons", at, &figures);
         starts.push((at, ready.as_secs_f64()));
@@ -134,7 +135,7 @@
         &logarithmic(&edits),
         3_800_f64.log2(),
     );
-    fitted("platform reads of a common start", &reads, 237.0);
+    fitted("platform reads/s of a common start", &reads, 237.0);
     fitted("start by daemons of one machine", &starts, 48.0);
 }
 
