--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Reruns every measurement of docs/CAPACITY.md and prints the figures.
-# Takes about 15 minutes on 10 cores; arguments choose parts:
+# All parts take tens of minutes; arguments choose parts:
 #   fleet rates texts model memory text policy
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,8 +2,9 @@
 Stand-ins for the systems around the fleet, and the load tool.
 
 The programs are `standin-platform`, `standin-backend`, `standin-relay` and
-`standin-caller`. Each prints one JSON line with `listening` on standard output
-when it is ready and stops on SIGTERM. Tests start them as processes:
+`standin-caller`, and `standin-capacity`, which measures real daemons. The first
+four each print one JSON line with `listening` on standard output when they are
+ready and stop on SIGTERM. Tests start them as processes:
 
 ```no_run
 use std::time::Duration;
