Admit nothing after a pause that was not yet noticed

Cause: requests that waited in the socket of a frozen daemon were served under the old text when their thread ran before the timer that notices the pause. Change: the age of the last tick counts as a pause of its own.

--- a/crates/dotterelhinge/src/context.rs
+++ b/crates/dotterelhinge/src/context.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant, UNIX_EPOCH},
 };
@@ -14,6 +14,10 @@
 
 use crate::{members, metrics, settings, text};
 
+/// A gap between ticks from which on the process counts as paused, as in the
+/// membership policy.
+const PAUSE: Duration = Duration::from_secs(2);
+
 /// A text in force.
 pub(crate) struct InForce {
     /// Version in the platform's table.
@@ -54,6 +58,9 @@
     pub metrics: metrics::Registry,
     stopping: AtomicBool,
     unchecked: AtomicBool,
+    started: Instant,
+    // Last tick of the membership timer, in milliseconds since `started`.
+    ticked: AtomicU64,
 }
 
 impl Context {
@@ -68,6 +75,7 @@
             .duration_since(UNIX_EPOCH)
             .unwrap_or(Duration::ZERO)
             .as_millis() as u64;
+        let started = clock.now();
         Self {
             members: ArcSwap::from_pointee(members::List::default()),
             settings,
@@ -78,6 +86,8 @@
             metrics,
             stopping: AtomicBool::new(false),
             unchecked: AtomicBool::new(false),
+            started,
+            ticked: AtomicU64::new(0),
         }
     }
 
@@ -92,9 +102,20 @@
     }
 
     /// Whether the process was paused and has not yet compared its version
-    /// with a peer.
+    /// with a peer. Requests that waited in the sockets may come before the
+    /// timer that notices the pause, so the time since its last tick counts
+    /// as well.
     pub(crate) fn unchecked(&self) -> bool {
+        let ticked = Duration::from_millis(self.ticked.load(Ordering::Acquire));
         self.unchecked.load(Ordering::Acquire)
+            || self.clock.now().saturating_duration_since(self.started) >= ticked + PAUSE
+    }
+
+    /// Notes a tick of the membership timer, after a pause before it was noted.
+    pub(crate) fn note_tick(&self) {
+        let elapsed = self.clock.now().saturating_duration_since(self.started);
+        self.ticked
+            .store(elapsed.as_millis() as u64, Ordering::Release);
     }
 
     /// Sets whether a comparison after a pause is due.
--- a/crates/dotterelhinge/src/membership.rs
+++ b/crates/dotterelhinge/src/membership.rs
@@ -140,7 +140,10 @@
         self.publish();
         let seeds = self.context.settings.seeds.clone();
         self.take(ctx, policy::Event::Seeds(seeds));
-        ctx.run_interval(TICK, |actor, ctx| actor.take(ctx, policy::Event::Tick));
+        ctx.run_interval(TICK, |actor, ctx| {
+            actor.take(ctx, policy::Event::Tick);
+            actor.context.note_tick();
+        });
     }
 }
 
