Decline slots after a pause of the coordinator

Cause: acquires that waited in the socket of a frozen coordinator were granted when it went on, although their senders had given up. Change: for 500 ms after a gap of 250 ms between ticks an acquire is declined, and its sender falls back.

--- a/crates/dotterelhinge/src/coordinator.rs
+++ b/crates/dotterelhinge/src/coordinator.rs
@@ -31,6 +31,13 @@
 /// Period of the timer that expires waiting requests.
 const TICK: Duration = Duration::from_millis(10);
 
+/// A gap between ticks from which on the process counts as paused. Callers
+/// give up on an unanswered acquire after 75 ms.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Time after a pause in which messages that waited meanwhile may arrive.
+const BACKLOG: Duration = Duration::from_millis(500);
+
 struct Ticket {
     waiter: Option<oneshot::Sender<wire::Answer>>,
     answer: Option<wire::Answer>,
@@ -51,12 +58,16 @@
     context: Arc<context::Context>,
     duties: HashMap<Arc<str>, Duty>,
     next_ticket: u64,
+    last_tick: Instant,
+    resumed: Option<Instant>,
 }
 
 impl Actor {
     /// An actor without duties; they begin with the first request.
     pub(crate) fn new(context: Arc<context::Context>) -> Self {
         Self {
+            last_tick: context.clock.now(),
+            resumed: None,
             context,
             duties: HashMap::new(),
             next_ticket: 1,
@@ -166,8 +177,22 @@
         })
     }
 
+    /// Whether the process was paused a short while ago. Requests for slots
+    /// that waited meanwhile belong to callers that have given up, and grants
+    /// for them would block their slots until the next renewals.
+    fn was_paused(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_tick) >= PAUSE
+            || self
+                .resumed
+                .is_some_and(|resumed| now.saturating_duration_since(resumed) < BACKLOG)
+    }
+
     fn tick(&mut self) {
         let now = self.context.clock.now();
+        if now.saturating_duration_since(self.last_tick) >= PAUSE {
+            self.resumed = Some(now);
+        }
+        self.last_tick = now;
         let services: Vec<_> = self.duties.keys().cloned().collect();
         for service in services {
             self.expire(now, &service);
@@ -280,7 +305,8 @@
     fn handle(&mut self, Acquire(message): Acquire, _: &mut Self::Context) -> Self::Result {
         let now = self.context.clock.now();
         let class = self.class(&message.class);
-        let (Some(class), false) = (class, self.context.stopping()) else {
+        let declines = self.context.stopping() || self.was_paused(now);
+        let (Some(class), false) = (class, declines) else {
             return Box::pin(std::future::ready(wire::Answer::NotCoordinator));
         };
         let ticket = self.next_ticket;
