--- a/crates/standin/src/experiment/measure.rs
+++ b/crates/standin/src/experiment/measure.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::{backend::record::Entry, caller::judge::Outcome, caller::result::Results};
 
@@ -15,7 +15,7 @@
 const QUIET_SHARE: f64 = 0.1;
 
 /// How long a faulty server kept receiving work.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Detection {
     /// Seconds from the fault to the last request before the quiet time, or to
     /// the end of the run if there was none.
--- a/crates/standin/src/experiment/mod.rs
+++ b/crates/standin/src/experiment/mod.rs
@@ -11,12 +11,17 @@
 
 use serde_json::Value;
 
+pub mod bench;
+pub mod bound;
 pub mod deployment;
 pub mod interrupt;
 pub mod load;
 pub mod measure;
 pub mod quickstart;
+pub mod report;
+pub mod scenario;
 pub mod table;
+pub mod usage;
 
 /// Why an experiment ended without a result.
 #[derive(Debug, thiserror::Error)]
