Report granted slots and log events in the benchmark

Cause: a collapse at 80 % load could not be told from a full service. The benchmark now samples the slots that the coordinator counts as granted, counts log events, and has tests for bounds and /proc parsing.

--- a/crates/standin/src/experiment/bench.rs
+++ b/crates/standin/src/experiment/bench.rs
@@ -14,7 +14,7 @@
 use crate::{
     backend::record,
     caller::result,
-    check,
+    check, client,
     experiment::{
         Error,
         deployment::{Daemon, Deployment, Options, Service},
@@ -101,6 +101,10 @@
     pub false_ejection_lines: u64,
     /// Share of the slots of each service that were in use.
     pub slots_used: BTreeMap<String, f64>,
+    /// Share of the slots of each service that its coordinator counts as
+    /// granted: beyond those in use, slots wait for the first byte of an
+    /// attempt or for the report of its end.
+    pub slots_granted: BTreeMap<String, f64>,
     /// Attempts divided by requests, of the daemons that lived to the end.
     pub attempts_per_request: f64,
     /// Placements without the coordinator.
@@ -115,6 +119,8 @@
     /// Seconds from the accepted edit to the last request on the server that
     /// leaves.
     pub leaving_seconds: Option<f64>,
+    /// Number of log lines of the daemons by `event`.
+    pub events: BTreeMap<String, u64>,
     /// Broken requirements.
     pub findings: Vec<String>,
     /// Latencies by class, for the plot.
@@ -178,7 +184,7 @@
     }
     interrupt::sleep_until(start + EVENT_AT)?;
     let happened = act(&scenario.event, &mut deployment)?;
-    interrupt::sleep_until(start + settings.length)?;
+    let granted = sample_granted(&deployment, start + settings.length)?;
     let machine_idle = usage::Machine::read().idle_since(&machine);
     let after: Vec<_> = deployment.daemons.iter().map(counters).collect();
     let seconds = start.elapsed().as_secs_f64();
@@ -196,6 +202,7 @@
         load_average,
         machine_idle,
         in_force_seconds: happened.in_force,
+        slots_granted: granted,
         ..Run::default()
     };
     for (service, results) in deployment.services.iter().zip(&results) {
@@ -231,6 +238,47 @@
         .into_owned()
 }
 
+/// Mean share of granted slots by service, looked at once a second.
+fn sample_granted(
+    deployment: &Deployment,
+    until: Instant,
+) -> Result<BTreeMap<String, f64>, Report<Error>> {
+    let mut samples: BTreeMap<String, Vec<f64>> = BTreeMap::new();
+    loop {
+        let next = Instant::now() + Duration::from_secs(1);
+        if next >= until {
+            interrupt::sleep_until(until)?;
+            break;
+        }
+        for service in &deployment.services {
+            let coordinator = deployment.coordinator(&service.name);
+            let Some(daemon) = coordinator.map(|number| &deployment.daemons[number]) else {
+                continue;
+            };
+            let rows = client::get(&daemon.admin, "/upstreams").map(|answer| answer.json());
+            let rows = rows.unwrap_or_default();
+            // One row for each upstream and class, all with the same slots.
+            let in_use: BTreeMap<&str, u64> = rows
+                .as_array()
+                .into_iter()
+                .flatten()
+                .filter(|row| string(row, "service") == service.name)
+                .map(|row| (string(row, "upstream"), row["in_use"].as_u64().unwrap_or(0)))
+                .collect();
+            if !in_use.is_empty() {
+                let share = in_use.values().sum::<u64>() as f64 / service.slots as f64;
+                samples.entry(service.name.clone()).or_default().push(share);
+            }
+        }
+        interrupt::sleep_until(next)?;
+    }
+    let mean = |shares: Vec<f64>| shares.iter().sum::<f64>() / shares.len() as f64;
+    Ok(samples
+        .into_iter()
+        .map(|(name, shares)| (name, mean(shares)))
+        .collect())
+}
+
 fn act(event: &scenario::Event, deployment: &mut Deployment) -> Result<Happened, Report<Error>> {
     let main = deployment.service(false)?;
     let mut happened = Happened::default();
@@ -377,6 +425,9 @@
         for output in outputs.map(|process| process.output()) {
             for line in output.lines() {
                 let line: Value = serde_json::from_str(line).unwrap_or_default();
+                if let Some(event) = line["event"].as_str() {
+                    *self.events.entry(event.to_owned()).or_default() += 1;
+                }
                 // An upstream whose classes are all ejected was counted with
                 // each of them.
                 if line["event"] != "ejected"
--- a/crates/standin/src/experiment/report.rs
+++ b/crates/standin/src/experiment/report.rs
@@ -181,18 +181,20 @@
             .map(|(deployment, policy, runs)| {
                 let over =
                     |f: &dyn Fn(&Run) -> f64| bound::over(runs.iter().copied(), |r| Some(f(r)));
-                let used = runs.first().map_or(String::new(), |run| {
-                    let each = run.slots_used.values();
-                    each.map(|used| format!("{:.0}", used * 100.0))
-                        .collect::<Vec<_>>()
-                        .join(" / ")
-                });
+                let shares = |f: &dyn Fn(&Run) -> Vec<f64>| {
+                    let each = runs.first().map(|run| f(run)).unwrap_or_default();
+                    let each = each.iter().map(|share| format!("{:.0}", share * 100.0));
+                    each.collect::<Vec<_>>().join(" / ")
+                };
+                let used = shares(&|run| run.slots_used.values().copied().collect());
+                let granted = shares(&|run| run.slots_granted.values().copied().collect());
                 vec![
                     deployment.to_owned(),
                     policy.to_owned(),
                     runs.len().to_string(),
                     number(over(&|run| run.false_ejections_per_server_hour), 2),
                     used,
+                    granted,
                     number(over(&|run| run.attempts_per_request), 3),
                     number(over(&|run| run.fallbacks as f64), 0),
                     number(over(&|run| run.control_bytes_per_second.0), 0),
@@ -214,6 +216,7 @@
             "runs",
             "false ejections/server-hour",
             "slots used % by service",
+            "granted %",
             "attempts/requests",
             "fallbacks",
             "control B/s mean",
--- a/crates/standin/tests/experiment.rs
+++ b/crates/standin/tests/experiment.rs
@@ -8,7 +8,10 @@
         judge::Outcome,
         result::{Request, Results},
     },
-    experiment::{load, measure, table},
+    experiment::{
+        bench::{Class, Run},
+        bound, load, measure, scenario, table, usage,
+    },
 };
 use googletest::prelude::*;
 use serde_json::json;
@@ -168,3 +171,61 @@
     );
     expect_that!(table::number(None, 1), eq("-"));
 }
+
+/// Guards against program names that shift the fields of `/proc/<pid>/stat`.
+#[googletest::test]
+fn processor_time_follows_the_program_name() {
+    let stat = "7 (a (b) c) S 1 7 7 0 -1 4194560 100 0 0 0 250 50 0 0 20 0 1 0 100";
+    expect_that!(usage::ticks(stat), some(eq(300)));
+    expect_that!(usage::ticks("7 (a"), none());
+}
+
+fn run_of(policy: &str, cost: f64, added_p99_ms: f64) -> Run {
+    let class = Class {
+        cost,
+        added_p99_ms: Some(added_p99_ms),
+        ..Class::default()
+    };
+    Run {
+        deployment: "works".to_owned(),
+        policy: policy.to_owned(),
+        attempts_per_request: 1.1,
+        classes: [("lookup".to_owned(), class)].into(),
+        ..Run::default()
+    }
+}
+
+fn verdicts(scenario: &str, runs: &[Run]) -> Vec<(String, bool)> {
+    let all = scenario::all();
+    let scenario = all.iter().find(|s| s.name == scenario).expect("a scenario");
+    let queues = [("lookup".to_owned(), 90, Duration::from_millis(30))];
+    bound::of(scenario, "works", runs, &queues)
+        .into_iter()
+        .map(|bound| (bound.name.clone(), bound.is_kept()))
+        .collect()
+}
+
+/// Guards against bounds that pass although the target is missed.
+#[googletest::test]
+fn bounds_compare_the_fleet_with_the_targets() {
+    let runs = [run_of("fleet", 6.0, 8.0), run_of("baseline", 10.0, 1.0)];
+    let found: Vec<_> = verdicts("load-80", &runs);
+    let expected = [
+        ("attempts/requests".to_owned(), true),
+        ("added p99 ms lookup".to_owned(), false),
+        ("weighted cost".to_owned(), true),
+    ];
+    expect_that!(found.as_slice(), eq(&expected[..]));
+    let found: Vec<_> = verdicts("fail-all", &runs);
+    let expected = [
+        ("attempts/requests".to_owned(), true),
+        ("weighted cost".to_owned(), false),
+    ];
+    expect_that!(found.as_slice(), eq(&expected[..]));
+    // Without figures of the fleet nothing passes.
+    let kept: Vec<_> = verdicts("leaving", &runs[1..])
+        .into_iter()
+        .filter(|(_, kept)| *kept)
+        .collect();
+    expect_that!(kept, is_empty());
+}
