--- a/crates/dotterelhinge/src/border/settings.rs
+++ b/crates/dotterelhinge/src/border/settings.rs
@@ -11,7 +11,7 @@
     ///Name of the machine that runs the process, unique in the fleet.
     pub host: ::std::string::String,
     ///Idempotency records that a process holds at most.
-    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 200000>")]
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 60000>")]
     pub keys_per_owner: ::std::num::NonZeroU32,
     ///IP address and port for callers.
     pub listen: ::std::string::String,
--- a/crates/dotterelhinge/src/settings.rs
+++ b/crates/dotterelhinge/src/settings.rs
@@ -111,7 +111,7 @@
             max_header_bytes: 32 << 10,
             max_body_bytes: 256 << 20,
             log_level: log::LevelFilter::Info,
-            keys_per_owner: 200_000,
+            keys_per_owner: 60_000,
         }
     }
 }
