Send several reports to a coordinator at once and repeat failed ones soon

Cause: one report at a time was on its way to a coordinator, so a settled slot waited for the round trip of the report before; after a failed report nothing was sent until the next renewal, up to 1 s later.

Change: four reports in flight; a failed one is sent again after 50 ms.

Ruled out: one request for each settle; the batches save most of the heads.

--- a/crates/dotterelhinge/src/ledger.rs
+++ b/crates/dotterelhinge/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The grants that this daemon holds, and the reports to their coordinators.
 //!
-//! Reports are batched: at most one is on its way to each coordinator, and
+//! Reports are batched: only a few are on their way to each coordinator, and
 //! what comes up meanwhile goes with the next one.
 
 use std::{
@@ -26,6 +26,13 @@
 /// dropped, since the coordinator releases grants of a silent holder anyway.
 const BACKLOG: usize = 4096;
 
+/// Reports on their way to one coordinator at most. With one, a settled slot
+/// waited for the round trip of the report before.
+const IN_FLIGHT: u32 = 4;
+
+/// Time after which a failed report is sent again.
+const RETRY: Duration = Duration::from_millis(50);
+
 /// Bit that marks a grant number given by the holder and not by a coordinator.
 const INHERITED: u64 = 1 << 63;
 
@@ -111,7 +118,7 @@
     client: Option<peer::Client>,
     held: HashMap<u64, Held>,
     queues: HashMap<Arc<str>, Vec<wire::Entry>>,
-    busy: HashSet<Arc<str>>,
+    in_flight: HashMap<Arc<str>, u32>,
     next_inherited: u64,
 }
 
@@ -127,7 +134,7 @@
             client: None,
             held: HashMap::new(),
             queues: HashMap::new(),
-            busy: HashSet::new(),
+            in_flight: HashMap::new(),
             next_inherited: INHERITED | ((salt & 0x7fff_ffff) << 32),
         }
     }
@@ -146,7 +153,8 @@
     }
 
     fn flush(&mut self, ctx: &mut Context<Self>, coordinator: &Arc<str>) {
-        if self.busy.contains(coordinator) {
+        let in_flight = self.in_flight.get(coordinator).copied().unwrap_or(0);
+        if in_flight >= IN_FLIGHT {
             return;
         }
         let Some(entries) = self.queues.remove(coordinator).filter(|q| !q.is_empty()) else {
@@ -156,7 +164,8 @@
             host: Arc::clone(&self.context.settings.host),
             entries,
         };
-        self.busy.insert(Arc::clone(coordinator));
+        self.in_flight
+            .insert(Arc::clone(coordinator), in_flight + 1);
         let name = Arc::clone(coordinator);
         if **coordinator == *self.context.settings.host {
             let sent = self.local.send(coordinator::Report(report));
@@ -168,7 +177,7 @@
         }
         let (Some(client), Some(address)) = (self.client.clone(), self.address(coordinator)) else {
             // A coordinator that left the member list has no use for reports.
-            self.busy.remove(coordinator);
+            self.ended(coordinator);
             return;
         };
         let sent = async move {
@@ -181,25 +190,33 @@
             Ok(receipt) => actor.delivered(ctx, &name, Some(receipt)),
             Err((error, entries)) => {
                 log::debug!(event = "report_failed", coordinator = &*name, error = format!("{error:?}"); "report failed");
-                actor.busy.remove(&name);
+                actor.ended(&name);
                 let later = actor.queues.remove(&name).unwrap_or_default();
                 // Settling twice is harmless: the second one finds no grant.
                 let mut queue = entries;
                 queue.retain(|entry| !matches!(entry, wire::Entry::Renew { .. }));
                 queue.extend(later);
                 queue.truncate(BACKLOG);
-                actor.queues.insert(name, queue);
+                actor.queues.insert(Arc::clone(&name), queue);
+                ctx.run_later(RETRY, move |actor, ctx| actor.flush(ctx, &name));
             }
         }));
     }
 
+    /// Notes that a report is no longer on its way.
+    fn ended(&mut self, coordinator: &Arc<str>) {
+        if let Some(in_flight) = self.in_flight.get_mut(coordinator) {
+            *in_flight = in_flight.saturating_sub(1);
+        }
+    }
+
     fn delivered(
         &mut self,
         ctx: &mut Context<Self>,
         coordinator: &Arc<str>,
         receipt: Option<wire::Receipt>,
     ) {
-        self.busy.remove(coordinator);
+        self.ended(coordinator);
         for standing in receipt.unwrap_or_default().standings {
             self.context
                 .note_standing(standing.service, standing.term, standing.view);
