--- a/crates/standin/src/experiment/bound.rs
+++ b/crates/standin/src/experiment/bound.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::experiment::{bench::Run, measure, scenario};
+use crate::experiment::{figures::Run, measure, scenario};
 
 /// Added latency at p99 and 80 % load, in milliseconds.
 const ADDED_MS: f64 = 7.9;
--- a/crates/standin/src/experiment/mod.rs
+++ b/crates/standin/src/experiment/mod.rs
@@ -14,6 +14,7 @@
 pub mod bench;
 pub mod bound;
 pub mod deployment;
+pub mod figures;
 pub mod interrupt;
 pub mod load;
 pub mod measure;
--- a/crates/standin/src/experiment/report.rs
+++ b/crates/standin/src/experiment/report.rs
@@ -14,8 +14,8 @@
 use crate::{
     experiment::{
         Error,
-        bench::Run,
         bound::{self, Bound},
+        figures::Run,
         scenario,
         table::{self, number},
     },
@@ -111,10 +111,10 @@
                     .iter()
                     .filter_map(|run| run.classes.get(class))
                     .collect();
-                let sum = |f: &dyn Fn(&crate::experiment::bench::Class) -> u64| -> u64 {
+                let sum = |f: &dyn Fn(&crate::experiment::figures::Class) -> u64| -> u64 {
                     of.iter().map(|class| f(class)).sum()
                 };
-                let added = |f: &dyn Fn(&crate::experiment::bench::Class) -> Option<f64>| {
+                let added = |f: &dyn Fn(&crate::experiment::figures::Class) -> Option<f64>| {
                     number(
                         bound::over(runs.iter().copied(), |run| f(run.classes.get(class)?)),
                         1,
--- a/crates/standin/tests/experiment.rs
+++ b/crates/standin/tests/experiment.rs
@@ -9,8 +9,9 @@
         result::{Request, Results},
     },
     experiment::{
-        bench::{Class, Run},
-        bound, load, measure, scenario, table, usage,
+        bound,
+        figures::{Class, Run},
+        load, measure, scenario, table, usage,
     },
 };
 use googletest::prelude::*;
