--- a/crates/dotterelhinge/src/idempotency.rs
+++ b/crates/dotterelhinge/src/idempotency.rs
@@ -18,7 +18,12 @@
 
 /// Times that the end of an attempt is sent to the owner of its key. If all
 /// fail, the key stays in progress at the owner, which is the safe side.
-const END_ATTEMPTS: u32 = 4;
+const END_ATTEMPTS: u32 = 7;
+
+/// Wait before the end of an attempt is sent again, doubled each time: a range
+/// moves to another owner within fractions of a second, a lost owner is
+/// replaced in the member list within seconds.
+const END_RETRY: Duration = Duration::from_millis(100);
 
 /// Owns ranges of idempotency keys.
 pub(crate) struct Actor {
@@ -243,7 +248,7 @@
             async move {
                 for attempt in 0..END_ATTEMPTS {
                     if attempt > 0 {
-                        tokio::time::sleep(CALL * attempt).await;
+                        tokio::time::sleep(END_RETRY * 2_u32.pow(attempt - 1)).await;
                     }
                     if report(&context, &client, &local, &end).await {
                         return;
