Give callers 60 s to send the head of a request

Cause: the HTTP library answers 408 without an outcome when a request's head is not read within 5 s.

Ruled out: judging 408 as not run in the load tool; callers would still get an answer that does not say it.

Change: the limit is 60 s. A pause longer than that still has this effect.

--- a/crates/dotterelhinge/src/daemon.rs
+++ b/crates/dotterelhinge/src/daemon.rs
@@ -26,6 +26,11 @@
 /// idle time of usual balancers, which must be the first to close.
 const CALLER_KEEP_ALIVE: Duration = Duration::from_secs(75);
 
+/// Longest time for the head of a request. After it the HTTP library answers
+/// 408 without an outcome. A process that was paused for longer answers so to
+/// requests that waited in its sockets, hence far above the library's 5 s.
+const CALLER_HEAD: Duration = Duration::from_secs(60);
+
 /// Why a daemon ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
@@ -126,6 +131,7 @@
         })
         .workers(context.settings.workers)
         .keep_alive(CALLER_KEEP_ALIVE)
+        .client_request_timeout(CALLER_HEAD)
         // A caller that closes its side has gone away: its request is
         // cancelled and so is the attempt on the upstream.
         .h1_allow_half_closed(false)
