--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,160 @@
+//! The HTTP server for the balancer, for other daemons and for metrics. It
+//! runs on a thread of its own, so that a busy request path stays observable.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Instant,
+};
+
+use actix_web::{App, HttpResponse, HttpServer, web};
+use error_stack::{Report, ResultExt};
+
+use crate::{
+    catalog::Catalog,
+    metrics,
+    peer::client::{COPY_PATH, Copy},
+    replica::Standing,
+    store,
+};
+
+/// The server can't be started.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the control server can't be started")]
+pub struct Error;
+
+#[derive(Clone, Debug)]
+struct Shown {
+    catalog: Catalog,
+    standing: Standing,
+    at: Instant,
+    hosts: Vec<store::Host>,
+}
+
+/// What the control server shows of the request path.
+#[derive(Debug)]
+pub struct Shared {
+    ready: AtomicBool,
+    shown: Mutex<Option<Shown>>,
+    metrics: Arc<metrics::Registry>,
+}
+
+impl Shared {
+    /// State of a daemon that is not ready.
+    pub fn new(metrics: Arc<metrics::Registry>) -> Self {
+        Self {
+            ready: AtomicBool::new(false),
+            shown: Mutex::new(None),
+            metrics,
+        }
+    }
+
+    /// Sets whether the balancer should send callers. Returns whether that is
+    /// a change.
+    pub fn set_ready(&self, ready: bool) -> bool {
+        let changed = self.ready.swap(ready, Ordering::AcqRel) != ready;
+        if changed {
+            log::info!(event = "readiness", ready = ready; "readiness changed");
+        }
+        changed
+    }
+
+    /// Whether the balancer should send callers.
+    pub fn ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    /// Shows the catalog to other daemons.
+    pub fn show_catalog(&self, catalog: &Catalog, standing: Standing, at: Instant) {
+        let mut shown = self.shown.lock().unwrap_or_else(PoisonError::into_inner);
+        let hosts = shown.take().map(|shown| shown.hosts).unwrap_or_default();
+        *shown = Some(Shown {
+            catalog: catalog.clone(),
+            standing,
+            at,
+            hosts,
+        });
+    }
+
+    /// Shows the known hosts to other daemons.
+    pub fn show_hosts(&self, hosts: Vec<store::Host>) {
+        let mut shown = self.shown.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(shown) = &mut *shown {
+            shown.hosts = hosts;
+        }
+    }
+
+    fn copy(&self) -> Option<Copy> {
+        let shown = self
+            .shown
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()?;
+        let since = shown.at.elapsed().as_millis() as u32;
+        Some(Copy {
+            catalog: shown.catalog,
+            standing: Standing {
+                age_ms: shown.standing.age_ms.map(|age| age.saturating_add(since)),
+                ..shown.standing
+            },
+            hosts: shown.hosts,
+        })
+    }
+}
+
+/// Starts the server on `addresses`.
+pub fn start(
+    shared: Arc<Shared>,
+    ready_path: &'static str,
+    addresses: &[SocketAddr],
+) -> Result<actix_web::dev::Server, Report<Error>> {
+    let mut server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::from(Arc::clone(&shared)))
+            .route(ready_path, web::get().to(ready))
+            .route("/metrics", web::get().to(show_metrics))
+            .route(COPY_PATH, web::get().to(show_copy))
+    })
+    .workers(1)
+    .disable_signals()
+    .shutdown_timeout(1);
+    for address in addresses {
+        server = server
+            .bind(address)
+            .change_context(Error)
+            .attach_with(|| address.to_string())?;
+    }
+    Ok(server.run())
+}
+
+async fn ready(shared: web::Data<Shared>) -> HttpResponse {
+    if shared.ready() {
+        HttpResponse::Ok().finish()
+    } else {
+        HttpResponse::ServiceUnavailable().finish()
+    }
+}
+
+async fn show_metrics(shared: web::Data<Shared>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(shared.metrics.text())
+}
+
+async fn show_copy(shared: web::Data<Shared>) -> HttpResponse {
+    let Some(copy) = shared.copy() else {
+        return HttpResponse::ServiceUnavailable().finish();
+    };
+    match rmp_serde::to_vec(&copy) {
+        Ok(bytes) => HttpResponse::Ok()
+            .content_type("application/msgpack")
+            .body(bytes),
+        Err(error) => {
+            log::error!(event = "copy_not_encoded", error = error.to_string(); "copy of the catalog can't be encoded");
+            HttpResponse::InternalServerError().finish()
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/evidence.rs
@@ -0,0 +1,290 @@
+//! What all hosts together know about each backend server.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use dotterelhinge_policy::{selection, spell};
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::Upstream;
+
+/// How an attempt ended, as evidence about the backend server.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[repr(u8)]
+pub enum Outcome {
+    /// A whole answer that is no failure.
+    Good,
+    /// The server answered with a failure, or broke its answer off.
+    Failed,
+    /// No answer within the time that was given.
+    Silent,
+    /// The server declined the request.
+    Shed,
+    /// The request takes much longer than usual and goes on.
+    Overdue,
+}
+
+/// One outcome, as hosts tell it to each other.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Seen {
+    /// Number of the run of the backend server.
+    pub upstream: u64,
+    /// How the attempt ended.
+    pub outcome: Outcome,
+    /// Time that the attempt took, in milliseconds.
+    pub elapsed_ms: u32,
+}
+
+/// Weight of the newest answer in the pace of a backend server.
+const PACE_WEIGHT: f64 = 0.4;
+
+/// Weight of one answer in the usual time of a service.
+const USUAL_WEIGHT: f64 = 0.02;
+
+/// Time in which an extreme pace without new answers returns halfway to 1.
+const PACE_HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// Multiple of the usual time from which an attempt is overdue.
+pub const OVERDUE: f64 = 2.5;
+
+/// Time for which a backend server that declined a request counts as full.
+const FULL: Duration = Duration::from_millis(150);
+
+/// First time for which a host leaves a backend server alone that it can't
+/// connect to; it doubles with each further failure.
+const UNREACHABLE: Duration = Duration::from_secs(1);
+
+/// Longest time for which a host leaves such a backend server alone.
+const UNREACHABLE_MOST: Duration = Duration::from_secs(8);
+
+/// Failed connections after which the time doubles no more.
+const UNREACHABLE_STEPS: u32 = 4;
+
+#[derive(Clone, Copy, Debug)]
+struct Unreachable {
+    until: Instant,
+    times: u32,
+}
+
+#[derive(Debug)]
+struct Known {
+    belief: spell::Belief,
+    local: u32,
+    remote: u32,
+    pace: f64,
+    paced: Instant,
+    full_until: Option<Instant>,
+    sent: Option<Instant>,
+    unreachable: Option<Unreachable>,
+    cold_until: Instant,
+}
+
+/// Evidence about all backend servers.
+#[derive(Debug)]
+pub struct Evidence {
+    settings: spell::Settings,
+    known: HashMap<u64, Known>,
+    /// Usual seconds for an answer, by service.
+    usual: HashMap<Arc<str>, f64>,
+    services: HashMap<u64, Arc<str>>,
+}
+
+impl Evidence {
+    /// No evidence yet.
+    pub fn new(settings: spell::Settings) -> Self {
+        Self {
+            settings,
+            known: HashMap::new(),
+            usual: HashMap::new(),
+            services: HashMap::new(),
+        }
+    }
+
+    /// Follows the list: adds new backend servers and drops all others.
+    pub fn follow<'a>(&mut self, now: Instant, upstreams: impl Iterator<Item = &'a Arc<Upstream>>) {
+        let mut kept = HashMap::new();
+        self.services.clear();
+        for upstream in upstreams {
+            let key = upstream.key();
+            let known = self.known.remove(&key).unwrap_or_else(|| Known {
+                belief: spell::Belief::new(&self.settings, now),
+                local: 0,
+                remote: 0,
+                pace: 1.0,
+                paced: now,
+                full_until: None,
+                sent: None,
+                unreachable: None,
+                cold_until: now + upstream.cold_left,
+            });
+            kept.insert(key, known);
+            self.services.insert(key, Arc::clone(&upstream.service));
+        }
+        self.known = kept;
+    }
+
+    /// The usual time of an answer of `service`.
+    pub fn usual(&self, service: &str) -> Option<Duration> {
+        self.usual
+            .get(service)
+            .copied()
+            .map(Duration::from_secs_f64)
+    }
+
+    /// Whether this host could not connect to the backend server lately.
+    pub fn unreachable(&self, now: Instant, upstream: u64) -> bool {
+        let known = self.known.get(&upstream);
+        known
+            .and_then(|known| known.unreachable)
+            .is_some_and(|unreachable| now < unreachable.until)
+    }
+
+    /// Probability that the backend server is failing.
+    pub fn failing(&self, now: Instant, upstream: u64) -> f64 {
+        match self.known.get(&upstream) {
+            Some(known) => known.belief.failing(&self.settings, now),
+            None => self.settings.share(),
+        }
+    }
+
+    /// The backend server as a candidate of the choice.
+    pub fn candidate(&self, now: Instant, upstream: &Upstream, zone: &str) -> selection::Candidate {
+        let near = *upstream.availability_zone == *zone;
+        let slots = f64::from(upstream.slots);
+        let Some(known) = self.known.get(&upstream.key()) else {
+            return selection::Candidate {
+                failing: self.settings.share(),
+                in_use: 0.0,
+                slots,
+                pace: 1.0,
+                near,
+                sent: None,
+            };
+        };
+        let full = known.full_until.is_some_and(|until| now < until);
+        let in_use = f64::from(known.local + known.remote);
+        selection::Candidate {
+            failing: known.belief.failing(&self.settings, now),
+            in_use: if full { in_use.max(slots) } else { in_use },
+            slots,
+            pace: known.pace_at(now),
+            near,
+            sent: known.sent,
+        }
+    }
+
+    /// Notes that this host sends a request.
+    pub fn begin(&mut self, now: Instant, upstream: u64) {
+        if let Some(known) = self.known.get_mut(&upstream) {
+            known.local += 1;
+            known.sent = Some(now);
+        }
+    }
+
+    /// Notes that a request of this host has ended.
+    pub fn end(&mut self, upstream: u64) {
+        if let Some(known) = self.known.get_mut(&upstream) {
+            known.local = known.local.saturating_sub(1);
+        }
+    }
+
+    /// Replaces the requests in flight that another host had told of.
+    pub fn told(&mut self, now: Instant, before: &[(u64, u8)], after: &[(u64, u8)]) {
+        for (upstream, count) in before {
+            if let Some(known) = self.known.get_mut(upstream) {
+                known.remote = known.remote.saturating_sub((*count).into());
+            }
+        }
+        for (upstream, count) in after {
+            if let Some(known) = self.known.get_mut(upstream) {
+                known.remote += u32::from(*count);
+                let same = before.iter().any(|entry| entry == &(*upstream, *count));
+                if !same {
+                    known.sent = Some(now);
+                }
+            }
+        }
+    }
+
+    /// Requests of this host in flight, by backend server.
+    pub fn in_use(&self) -> Vec<(u64, u8)> {
+        self.known
+            .iter()
+            .filter(|(_, known)| known.local > 0)
+            .map(|(key, known)| (*key, known.local.min(u8::MAX.into()) as u8))
+            .collect()
+    }
+
+    /// Takes an outcome of any host into account.
+    pub fn observe(&mut self, now: Instant, seen: &Seen) {
+        let Some(known) = self.known.get_mut(&seen.upstream) else {
+            return;
+        };
+        match seen.outcome {
+            Outcome::Good => {
+                known.belief.observe(&self.settings, now, false);
+                known.full_until = None;
+                known.unreachable = None;
+                if let Some(service) = self.services.get(&seen.upstream) {
+                    let elapsed = f64::from(seen.elapsed_ms.max(1)) / 1000.0;
+                    let usual = self.usual.entry(Arc::clone(service)).or_insert(elapsed);
+                    known.note_pace(now, elapsed / *usual);
+                    *usual += (elapsed.min(*usual * OVERDUE) - *usual) * USUAL_WEIGHT;
+                }
+            }
+            Outcome::Failed | Outcome::Silent => {
+                known.belief.observe(&self.settings, now, true);
+            }
+            Outcome::Shed => {
+                known.belief.observe(&self.settings, now, true);
+                known.full_until = Some(now + FULL);
+            }
+            Outcome::Overdue => {
+                known.pace = known.pace_at(now).max(OVERDUE);
+                known.paced = now;
+            }
+        }
+    }
+
+    /// Notes that this host could not connect.
+    pub fn no_connection(&mut self, now: Instant, upstream: u64) {
+        if let Some(known) = self.known.get_mut(&upstream) {
+            let times = known.unreachable.map_or(0, |unreachable| unreachable.times);
+            let pause = UNREACHABLE * 2u32.pow(times.min(UNREACHABLE_STEPS));
+            known.unreachable = Some(Unreachable {
+                until: now + pause.min(UNREACHABLE_MOST),
+                times: times + 1,
+            });
+        }
+    }
+
+    /// Notes that this host could connect.
+    pub fn connected(&mut self, upstream: u64) {
+        if let Some(known) = self.known.get_mut(&upstream) {
+            known.unreachable = None;
+        }
+    }
+}
+
+impl Known {
+    fn pace_at(&self, now: Instant) -> f64 {
+        let idle = now.saturating_duration_since(self.paced).as_secs_f64();
+        let kept = 0.5f64.powf(idle / PACE_HALF_LIFE.as_secs_f64());
+        let pace = 1.0 + (self.pace - 1.0) * kept;
+        // A server that has just started takes about twice the usual time.
+        if now < self.cold_until {
+            pace.max(2.0)
+        } else {
+            pace
+        }
+    }
+
+    fn note_pace(&mut self, now: Instant, ratio: f64) {
+        let pace = self.pace_at(now);
+        self.pace = pace + (ratio - pace) * PACE_WEIGHT;
+        self.paced = now;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/host.rs
@@ -0,0 +1,165 @@
+//! State of one daemon that its tasks share. All tasks run on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::Instant,
+};
+
+use dotterelhinge_policy::{allowance, clock, split};
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::sync::Notify;
+
+use crate::{
+    catalog::Route,
+    control,
+    evidence::{Evidence, Outcome, Seen},
+    metrics,
+    peer::members::Members,
+    replica::{Delta, Replica},
+    settings::Settings,
+};
+
+/// What waits to be told to other hosts.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    /// Outcomes since the last report.
+    pub outcomes: Vec<Seen>,
+    /// Changes of the list that this host has just learned from the store.
+    pub delta: Option<Delta>,
+}
+
+/// State of one daemon.
+pub(crate) struct Host {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// The clock.
+    pub clock: Arc<dyn clock::Clock>,
+    /// Copy of the catalog.
+    pub replica: RefCell<Replica>,
+    /// Evidence about the backend servers.
+    pub evidence: RefCell<Evidence>,
+    /// Other daemons.
+    pub members: RefCell<Members>,
+    /// What waits to be told.
+    pub outbox: RefCell<Outbox>,
+    /// Wakes the task that tells other hosts.
+    pub urgent: Notify,
+    /// Retry allowances by service.
+    pub allowances: RefCell<HashMap<Arc<str>, allowance::Allowance>>,
+    /// Running balances of split routes by route name.
+    pub splits: RefCell<HashMap<Arc<str>, split::Split>>,
+    /// Random numbers.
+    pub rng: RefCell<SmallRng>,
+    /// What the control server shows.
+    pub shared: Arc<control::Shared>,
+    /// Counters and histograms.
+    pub metrics: Arc<metrics::Registry>,
+    /// Whether a planned stop has begun.
+    pub stopping: Cell<bool>,
+    /// When the planned stop began.
+    pub stopping_since: Cell<Option<Instant>>,
+    /// Requests that are being served.
+    pub serving: Cell<usize>,
+}
+
+impl Host {
+    /// State of a daemon that has just started.
+    pub(crate) fn new(settings: Settings, clock: Arc<dyn clock::Clock>) -> Rc<Self> {
+        let metrics = Arc::new(metrics::Registry::default());
+        Rc::new(Self {
+            replica: RefCell::new(Replica::new(settings.reregistration)),
+            evidence: RefCell::new(Evidence::new(settings.spell.clone())),
+            members: RefCell::new(Members::new(
+                settings.address,
+                Arc::clone(&settings.host),
+                Arc::clone(&settings.availability_zone),
+            )),
+            outbox: RefCell::default(),
+            urgent: Notify::new(),
+            allowances: RefCell::default(),
+            splits: RefCell::default(),
+            rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
+            shared: Arc::new(control::Shared::new(Arc::clone(&metrics))),
+            metrics,
+            stopping: Cell::new(false),
+            stopping_since: Cell::new(None),
+            serving: Cell::new(0),
+            settings,
+            clock,
+        })
+    }
+
+    /// The time now.
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Number of live hosts, with this one.
+    pub(crate) fn hosts(&self) -> usize {
+        self.members.borrow().alive(self.now())
+    }
+
+    /// Takes an outcome of this host into account and tells it to the others.
+    pub(crate) fn observe(&self, seen: Seen) {
+        self.evidence.borrow_mut().observe(self.now(), &seen);
+        let urgent = !matches!(seen.outcome, Outcome::Good);
+        self.outbox.borrow_mut().outcomes.push(seen);
+        if urgent {
+            self.urgent.notify_one();
+        }
+    }
+
+    /// Brings everything that depends on the catalog up to date.
+    pub(crate) fn catalog_changed(&self) {
+        let now = self.now();
+        let replica = self.replica.borrow();
+        let catalog = replica.catalog();
+        if let Some(list) = &catalog.upstreams {
+            self.evidence.borrow_mut().follow(now, list.value.values());
+        }
+        self.shared
+            .show_catalog(catalog, replica.standing(now), now);
+        self.shared
+            .set_ready(catalog.complete() && !self.stopping.get());
+    }
+
+    /// Chooses the service for a request on `route`.
+    pub(crate) fn split(&self, route: &Route) -> Arc<str> {
+        if let [only] = &route.targets[..] {
+            return Arc::clone(&only.service);
+        }
+        let weights = || route.targets.iter().map(|target| target.weight);
+        let mut splits = self.splits.borrow_mut();
+        let mut rng = self.rng.borrow_mut();
+        let split = splits
+            .entry(Arc::clone(&route.name))
+            .or_insert_with(|| split::Split::new(weights(), &mut *rng));
+        if !split.has(weights()) {
+            *split = split::Split::new(weights(), &mut *rng);
+        }
+        Arc::clone(&route.targets[split.choose()].service)
+    }
+
+    /// Counts a request for `service`, which earns retries.
+    pub(crate) fn earn(&self, service: &Arc<str>) {
+        let hosts = self.hosts();
+        let terms = &self.settings.allowance;
+        self.allowances
+            .borrow_mut()
+            .entry(Arc::clone(service))
+            .or_insert_with(|| allowance::Allowance::new(terms, hosts))
+            .earn(terms, hosts);
+    }
+
+    /// Runs `with` on the retry allowance of `service`.
+    pub(crate) fn allowance<T>(
+        &self,
+        service: &str,
+        with: impl FnOnce(&mut allowance::Allowance) -> T,
+    ) -> Option<T> {
+        self.allowances.borrow_mut().get_mut(service).map(with)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer/client.rs
@@ -0,0 +1,64 @@
+//! Calls to the HTTP interface of other daemons.
+
+use std::{net::Ipv4Addr, time::Duration};
+
+use error_stack::{Report, ResultExt};
+use serde::{Deserialize, Serialize};
+
+use crate::{catalog::Catalog, replica::Standing, store};
+
+/// Path of [`Copy`] on the peer port.
+pub const COPY_PATH: &str = "/peer/v2/copy";
+
+/// Longest time for a call. A host that takes longer is overloaded or cut off,
+/// and another one is asked.
+const TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Largest answer of another daemon, in bytes.
+const LARGEST: usize = 16 << 20;
+
+/// Why a call to another daemon failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// No answer in time, or the connection broke.
+    #[error("the daemon does not answer")]
+    Unreachable,
+    /// The answer can't be understood.
+    #[error("the daemon's answer can't be read")]
+    Invalid,
+}
+
+/// All that a daemon knows of the catalog and of the other hosts.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Copy {
+    /// The catalog.
+    pub catalog: Catalog,
+    /// How current it is.
+    pub standing: Standing,
+    /// The hosts it knows.
+    pub hosts: Vec<store::Host>,
+}
+
+/// Fetches the copy of the daemon at `address`.
+pub async fn fetch(
+    client: &awc::Client,
+    address: Ipv4Addr,
+    port: u16,
+) -> Result<Copy, Report<Error>> {
+    let call = async {
+        let mut response = client
+            .get(format!("http://{address}:{port}{COPY_PATH}"))
+            .send()
+            .await
+            .map_err(|error| Report::new(Error::Unreachable).attach(error.to_string()))?;
+        let body = response
+            .body()
+            .limit(LARGEST)
+            .await
+            .change_context(Error::Unreachable)?;
+        rmp_serde::from_slice(&body).change_context(Error::Invalid)
+    };
+    tokio::time::timeout(TIMEOUT, call)
+        .await
+        .change_context(Error::Unreachable)?
+}
--- /dev/null
+++ b/crates/gateway/src/replica.rs
@@ -0,0 +1,321 @@
+//! This host's copy of the catalog, and how far it can be trusted.
+//!
+//! Invariants: the version of the configuration never goes back within a
+//! process. An upstream that a store outage removed from the list stays usable
+//! until it had the time to register again.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    catalog::{Catalog, Configuration, State, Upstream, Upstreams, Versioned},
+    store,
+};
+
+/// Silence of the store from which its return counts as the end of an outage.
+const OUTAGE: Duration = Duration::from_millis(1500);
+
+/// What a host tells others about its copy.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Standing {
+    /// Store version of the configuration; 0 without one.
+    pub configuration: u64,
+    /// Version of the list of upstreams; 0 without one.
+    pub upstreams: u64,
+    /// Digest of the list of upstreams.
+    pub digest: u64,
+    /// Store version up to which changes of the list are known.
+    pub cursor: u64,
+    /// Age of the proof that the copy is current, in milliseconds.
+    pub age_ms: Option<u32>,
+}
+
+/// Changes that lead from one version of the list of upstreams to another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Delta {
+    /// Version that the changes apply to.
+    pub base: u64,
+    /// Version that they lead to.
+    pub version: u64,
+    /// The changes in order.
+    pub changes: Vec<store::Change>,
+}
+
+/// An upstream that is missing from the list since a store outage.
+#[derive(Clone, Debug)]
+struct Lapsed {
+    upstream: Arc<Upstream>,
+    until: Instant,
+}
+
+/// The copy of one host.
+#[derive(Debug)]
+pub struct Replica {
+    catalog: Catalog,
+    digest: u64,
+    cursor: u64,
+    proven_configuration: Option<Instant>,
+    proven_upstreams: Option<Instant>,
+    outage_ended: Option<Instant>,
+    reregistration: Duration,
+    lapsed: BTreeMap<Arc<str>, Lapsed>,
+}
+
+impl Replica {
+    /// An empty copy. Upstreams have the time `reregistration` to come back
+    /// after an outage.
+    pub fn new(reregistration: Duration) -> Self {
+        Self {
+            catalog: Catalog::default(),
+            digest: 0,
+            cursor: 0,
+            proven_configuration: None,
+            proven_upstreams: None,
+            outage_ended: None,
+            reregistration,
+            lapsed: BTreeMap::new(),
+        }
+    }
+
+    /// The catalog itself.
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        Some(&self.catalog.configuration.as_ref()?.value)
+    }
+
+    /// Store version up to which changes of the list are known.
+    pub fn cursor(&self) -> u64 {
+        self.cursor
+    }
+
+    /// Upstreams of `service` that take new requests.
+    pub fn usable<'a>(
+        &'a self,
+        now: Instant,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a Arc<Upstream>> {
+        let listed = self
+            .catalog
+            .upstreams
+            .iter()
+            .flat_map(|list| list.value.values());
+        let lapsed = self
+            .lapsed
+            .values()
+            .filter(move |lapsed| now < lapsed.until)
+            .map(|lapsed| &lapsed.upstream);
+        listed
+            .chain(lapsed)
+            .filter(move |upstream| *upstream.service == *service && upstream.state == State::Ready)
+    }
+
+    /// Whether `upstream`, chosen a moment ago, may still get a request.
+    pub fn allows(&self, now: Instant, upstream: &Upstream) -> bool {
+        self.usable(now, &upstream.service)
+            .any(|listed| listed.id == upstream.id && listed.born == upstream.born)
+    }
+
+    /// Age of the proof that the whole copy is current.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let proven = self.proven_configuration?.min(self.proven_upstreams?);
+        Some(now.saturating_duration_since(proven))
+    }
+
+    /// Age of the proof that the configuration is current.
+    pub fn configuration_age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.proven_configuration?))
+    }
+
+    /// Age of the proof that the list of upstreams is current.
+    pub fn upstreams_age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.proven_upstreams?))
+    }
+
+    /// What to tell other hosts.
+    pub fn standing(&self, now: Instant) -> Standing {
+        let version = |version: Option<u64>| version.unwrap_or(0);
+        Standing {
+            configuration: version(self.catalog.configuration.as_ref().map(|c| c.version)),
+            upstreams: version(self.catalog.upstreams.as_ref().map(|u| u.version)),
+            digest: self.digest,
+            cursor: self.cursor,
+            age_ms: self.age(now).map(|age| age.as_millis() as u32),
+        }
+    }
+
+    /// Forgets that the copy is current, after the process was stopped.
+    pub fn doubt(&mut self) {
+        self.proven_configuration = None;
+        self.proven_upstreams = None;
+    }
+
+    /// Takes over a configuration unless it is older than the one in force.
+    /// Returns whether it is new.
+    pub fn configure(&mut self, found: Versioned<Arc<Configuration>>) -> bool {
+        if let Some(known) = &self.catalog.configuration
+            && (found.version <= known.version || found.value.version < known.value.version)
+        {
+            return false;
+        }
+        self.catalog.configuration = Some(found);
+        true
+    }
+
+    /// Notes that the configuration was current at `at`.
+    pub fn prove_configuration(&mut self, at: Instant) {
+        self.proven_configuration = self.proven_configuration.max(Some(at));
+    }
+
+    /// Notes that the list of upstreams was current at `at`, up to the store
+    /// version `cursor`.
+    pub fn prove_upstreams(&mut self, at: Instant, cursor: u64) {
+        self.note_outage(at);
+        self.proven_upstreams = self.proven_upstreams.max(Some(at));
+        self.cursor = self.cursor.max(cursor);
+    }
+
+    fn note_outage(&mut self, now: Instant) {
+        if let Some(proven) = self.proven_upstreams
+            && now.saturating_duration_since(proven) >= OUTAGE
+        {
+            self.outage_ended = Some(now);
+        }
+    }
+
+    /// Takes over a whole list, read at `now`, unless it is older than the copy.
+    /// Returns whether anything changed.
+    pub fn replace(&mut self, now: Instant, list: Versioned<Arc<Upstreams>>) -> bool {
+        if let Some(known) = &self.catalog.upstreams
+            && list.version <= known.version
+        {
+            return false;
+        }
+        self.note_outage(now);
+        let before = self.catalog.upstreams.take();
+        let changed = before
+            .as_ref()
+            .is_none_or(|before| before.value != list.value);
+        for upstream in before.iter().flat_map(|before| before.value.values()) {
+            if !list.value.contains_key(&upstream.id) {
+                self.keep_lapsed(now, upstream);
+            }
+        }
+        self.lapsed.retain(|id, _| !list.value.contains_key(id));
+        self.digest = digest(&list.value);
+        self.catalog.upstreams = Some(list);
+        changed
+    }
+
+    /// Applies changes that the store reports. Returns them as a delta for
+    /// other hosts, or `None` if nothing changed or there is no list yet.
+    pub fn update(
+        &mut self,
+        now: Instant,
+        version: u64,
+        changes: Vec<store::Change>,
+    ) -> Option<Delta> {
+        self.note_outage(now);
+        let list = self.catalog.upstreams.clone()?;
+        let base = list.version;
+        let mut upstreams = Upstreams::clone(&list.value);
+        for change in &changes {
+            match change {
+                store::Change::Put(upstream) => {
+                    self.lapsed.remove(&upstream.id);
+                    upstreams.insert(Arc::clone(&upstream.id), Arc::clone(upstream));
+                }
+                store::Change::Remove(id) => {
+                    if let Some(upstream) = upstreams.remove(id) {
+                        self.keep_lapsed(now, &upstream);
+                    }
+                }
+            }
+        }
+        if upstreams == *list.value {
+            return None;
+        }
+        let version = version.max(base + 1);
+        self.digest = digest(&upstreams);
+        self.catalog.upstreams = Some(Versioned {
+            version,
+            value: Arc::new(upstreams),
+        });
+        Some(Delta {
+            base,
+            version,
+            changes,
+        })
+    }
+
+    /// Applies a delta of another host if it continues this copy.
+    pub fn apply(&mut self, now: Instant, delta: &Delta) -> bool {
+        let fits = self
+            .catalog
+            .upstreams
+            .as_ref()
+            .is_some_and(|list| list.version == delta.base);
+        fits && self
+            .update(now, delta.version, delta.changes.clone())
+            .is_some()
+    }
+
+    /// Compares the copy with that of another host. Takes over its proof if the
+    /// copies are equal, and returns whether the other one is newer.
+    pub fn compare(&mut self, now: Instant, other: &Standing) -> bool {
+        let own = self.standing(now);
+        let same_list = other.digest == own.digest && self.catalog.upstreams.is_some();
+        if same_list
+            && other.upstreams > own.upstreams
+            && let Some(list) = &mut self.catalog.upstreams
+        {
+            list.version = other.upstreams;
+        }
+        if let Some(age_ms) = other.age_ms
+            && let Some(proven) = now.checked_sub(Duration::from_millis(age_ms.into()))
+        {
+            if other.configuration == own.configuration && own.configuration > 0 {
+                self.prove_configuration(proven);
+            }
+            if same_list {
+                self.prove_upstreams(proven, other.cursor);
+            }
+        }
+        other.configuration > own.configuration || (other.upstreams > own.upstreams && !same_list)
+    }
+
+    /// Keeps an upstream that left the list while a store outage may have been
+    /// the reason.
+    fn keep_lapsed(&mut self, now: Instant, upstream: &Arc<Upstream>) {
+        let Some(ended) = self.outage_ended else {
+            return;
+        };
+        let until = ended + self.reregistration;
+        if now < until && upstream.state == State::Ready {
+            let lapsed = Lapsed {
+                upstream: Arc::clone(upstream),
+                until,
+            };
+            self.lapsed.insert(Arc::clone(&upstream.id), lapsed);
+        }
+    }
+}
+
+/// Digest of a list, independent of how it was reached.
+fn digest(upstreams: &Upstreams) -> u64 {
+    upstreams.values().fold(1, |digest, upstream| {
+        let state = match upstream.state {
+            State::Ready => 1,
+            State::Draining => 2,
+        };
+        digest ^ upstream.key().rotate_left(state)
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/replication.rs
@@ -0,0 +1,322 @@
+//! Keeps this host's copy of the catalog current: from the store if it is this
+//! host's turn to read, otherwise from other daemons.
+
+use std::{
+    net::Ipv4Addr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use dotterelhinge_policy::duty;
+use error_stack::Report;
+use rand::RngExt;
+use tokio::sync::mpsc;
+
+use crate::{
+    host::Host,
+    peer::client,
+    store::{self, Store},
+};
+
+/// Longest wait of one call for changes. Each answer proves that the copy is
+/// current, so this bounds how old the proof gets while nothing changes.
+const WAIT: Duration = Duration::from_millis(600);
+
+/// Time between two looks whether it is this host's turn to read.
+const LOOK: Duration = Duration::from_millis(30);
+
+/// First pause after a failed call; it doubles up to `PAUSE_MOST`.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause after failed calls.
+const PAUSE_MOST: Duration = Duration::from_millis(800);
+
+/// Time after the start from which other daemons are asked for a first copy.
+const ASK_PEERS: Duration = Duration::from_millis(400);
+
+/// One of the two things that are read from the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Subject {
+    Configuration,
+    Upstreams,
+}
+
+/// Watches the store for as long as the process runs.
+pub(crate) async fn run(host: Rc<Host>, store: Rc<dyn Store>, fetch: Fetch) {
+    tokio::join!(
+        watch(&host, &*store, Subject::Configuration),
+        watch(&host, &*store, Subject::Upstreams),
+        join(&host, &*store),
+        ask_peers(&host, fetch),
+    );
+}
+
+async fn watch(host: &Host, store: &dyn Store, subject: Subject) {
+    let mut failures = 0;
+    loop {
+        if !turn(host, subject) {
+            tokio::time::sleep(LOOK).await;
+            continue;
+        }
+        match read(host, store, subject).await {
+            Ok(()) => {
+                if failures > 0 {
+                    log::info!(event = "store_regained", subject = format!("{subject:?}"), failures = failures; "the store answers again");
+                }
+                failures = 0;
+            }
+            Err(error) => {
+                if failures == 0 {
+                    log::warn!(event = "store_lost", subject = format!("{subject:?}"), error = format!("{error:?}"); "a call to the store failed");
+                }
+                failures += 1;
+                tokio::time::sleep(pause(host, failures)).await;
+            }
+        }
+    }
+}
+
+/// Pause after `failures` failed calls in a row, with jitter so that hosts do
+/// not return together.
+fn pause(host: &Host, failures: u32) -> Duration {
+    let doubled = PAUSE * 2u32.pow(failures.min(6) - 1);
+    let jitter = host.rng.borrow_mut().random_range(0.5..1.0);
+    doubled.min(PAUSE_MOST).mul_f64(jitter)
+}
+
+fn turn(host: &Host, subject: Subject) -> bool {
+    let now = host.now();
+    let members = host.members.borrow();
+    let rank = duty::rank(&host.settings.host, members.readers(now));
+    let replica = host.replica.borrow();
+    let age = match subject {
+        Subject::Configuration => replica.configuration_age(now),
+        Subject::Upstreams => replica.upstreams_age(now),
+    };
+    duty::reads(&host.settings.duty, rank, age)
+}
+
+async fn read(host: &Host, store: &dyn Store, subject: Subject) -> store::Result<()> {
+    match subject {
+        Subject::Configuration => read_configuration(host, store).await,
+        Subject::Upstreams => read_upstreams(host, store).await,
+    }
+}
+
+/// When the answer to a call that began at `started` was made: at the end of
+/// its wait if it waited in full, otherwise not before it began.
+fn answered(started: Instant, now: Instant) -> Instant {
+    if now.saturating_duration_since(started) >= WAIT {
+        started + WAIT
+    } else {
+        started
+    }
+}
+
+async fn read_configuration(host: &Host, store: &dyn Store) -> store::Result<()> {
+    let started = host.now();
+    let known = host
+        .replica
+        .borrow()
+        .catalog()
+        .configuration
+        .as_ref()
+        .map(|configuration| configuration.version);
+    let found = match known {
+        None => store.configuration().await?,
+        Some(version) => match store.configuration_after(version, WAIT).await {
+            Err(error) if *error.current_context() == store::Error::Forgotten => {
+                store.configuration().await?
+            }
+            found => found?,
+        },
+    };
+    let at = answered(started, host.now());
+    let mut replica = host.replica.borrow_mut();
+    let mut changed = false;
+    if let Some(configuration) = found.value {
+        let (version, routes) = (configuration.version, configuration.hosts.len());
+        changed = replica.configure(crate::catalog::Versioned {
+            version: found.version,
+            value: configuration,
+        });
+        log::info!(event = "configuration_read", version = version, store_version = found.version, hosts = routes, adopted = changed; "configuration read from the store");
+    }
+    if replica.configuration().is_some() {
+        replica.prove_configuration(at);
+    }
+    drop(replica);
+    if changed {
+        host.catalog_changed();
+        host.urgent.notify_one();
+    } else if known.is_none() {
+        // The first configuration is yet to come.
+        tokio::time::sleep(PAUSE).await;
+    }
+    Ok(())
+}
+
+async fn read_upstreams(host: &Host, store: &dyn Store) -> store::Result<()> {
+    let started = host.now();
+    let cursor = {
+        let replica = host.replica.borrow();
+        let list = replica.catalog().upstreams.as_ref();
+        list.map(|list| replica.cursor().max(list.version))
+    };
+    let Some(cursor) = cursor else {
+        return read_list(host, store).await;
+    };
+    let found = match store.upstreams_after(cursor, WAIT).await {
+        Err(error) if *error.current_context() == store::Error::Forgotten => {
+            log::warn!(event = "history_forgotten", cursor = cursor; "the store forgot its history; reading the whole list");
+            return read_list(host, store).await;
+        }
+        found => found?,
+    };
+    let at = answered(started, host.now());
+    let mut replica = host.replica.borrow_mut();
+    let delta = replica.update(host.now(), found.version, found.value);
+    replica.prove_upstreams(at, found.version);
+    drop(replica);
+    if let Some(delta) = delta {
+        log::info!(event = "upstreams_changed", version = delta.version, changes = format!("{:?}", summary(&delta.changes)); "list of upstreams changed");
+        host.catalog_changed();
+        host.outbox.borrow_mut().delta = Some(delta);
+        host.urgent.notify_one();
+    }
+    Ok(())
+}
+
+async fn read_list(host: &Host, store: &dyn Store) -> store::Result<()> {
+    let started = host.now();
+    let list = store.upstreams().await?;
+    let (version, count) = (list.version, list.value.len());
+    let mut replica = host.replica.borrow_mut();
+    let changed = replica.replace(
+        host.now(),
+        crate::catalog::Versioned {
+            version,
+            value: list.value.into(),
+        },
+    );
+    replica.prove_upstreams(started, version);
+    drop(replica);
+    log::info!(event = "upstreams_read", version = version, count = count, changed = changed; "list of upstreams read from the store");
+    if changed {
+        host.catalog_changed();
+    }
+    Ok(())
+}
+
+/// Changes in short for the log.
+fn summary(changes: &[store::Change]) -> Vec<String> {
+    changes
+        .iter()
+        .map(|change| match change {
+            store::Change::Put(upstream) => {
+                format!("{} {} {:?}", upstream.id, upstream.address, upstream.state)
+            }
+            store::Change::Remove(id) => format!("{id} gone"),
+        })
+        .collect()
+}
+
+/// Registers this host and learns of the others.
+async fn join(host: &Host, store: &dyn Store) {
+    let own = store::Host {
+        name: host.settings.host.clone(),
+        address: host.settings.address,
+        availability_zone: host.settings.availability_zone.clone(),
+    };
+    let mut failures = 0;
+    loop {
+        let joined: Result<(), Report<store::Error>> = async {
+            store.register(&own).await?;
+            let hosts = store.hosts().await?;
+            log::info!(event = "hosts_read", count = hosts.len(); "list of hosts read from the store");
+            host.members.borrow_mut().add(host.now(), hosts);
+            host.urgent.notify_one();
+            Ok(())
+        }
+        .await;
+        match joined {
+            Ok(()) => return,
+            Err(error) => {
+                failures += 1;
+                log::warn!(event = "not_registered", failures = failures, error = format!("{error:?}"); "host could not register itself");
+                tokio::time::sleep(pause(host, failures)).await;
+            }
+        }
+    }
+}
+
+/// Asks other daemons for a first copy while the store gives none.
+async fn ask_peers(host: &Host, fetch: Fetch) {
+    let mut seeds = host.settings.seeds.iter().cycle();
+    loop {
+        tokio::time::sleep(ASK_PEERS).await;
+        if host.replica.borrow().catalog().complete() {
+            return;
+        }
+        let known = host
+            .members
+            .borrow()
+            .any(host.now(), &mut *host.rng.borrow_mut());
+        if let Some(address) = known.or_else(|| seeds.next().copied()) {
+            fetch.from(address);
+        }
+    }
+}
+
+/// Orders copies from other daemons, one at a time.
+#[derive(Clone)]
+pub(crate) struct Fetch(mpsc::Sender<Ipv4Addr>);
+
+impl Fetch {
+    /// A fetcher and the task that does its work.
+    pub(crate) fn new(host: Rc<Host>) -> (Self, impl Future<Output = ()>) {
+        let (sender, mut orders) = mpsc::channel(1);
+        let work = async move {
+            let client = awc::Client::builder().disable_timeout().finish();
+            while let Some(address) = orders.recv().await {
+                fetch(&host, &client, address).await;
+            }
+        };
+        (Self(sender), work)
+    }
+
+    /// Fetches the copy of the daemon at `address`, unless a fetch is already
+    /// waiting; a report that shows the need comes again.
+    pub(crate) fn from(&self, address: Ipv4Addr) {
+        // A full queue means that a fetch is already on its way.
+        let _ = self.0.try_send(address);
+    }
+}
+
+async fn fetch(host: &Host, client: &awc::Client, address: Ipv4Addr) {
+    let started = host.now();
+    let copy = match client::fetch(client, address, host.settings.peer_port).await {
+        Ok(copy) => copy,
+        Err(error) => {
+            log::warn!(event = "copy_not_fetched", peer = address.to_string(), error = format!("{error:?}"); "copy of the catalog could not be fetched");
+            return;
+        }
+    };
+    let now = host.now();
+    let mut replica = host.replica.borrow_mut();
+    let configured = copy
+        .catalog
+        .configuration
+        .is_some_and(|configuration| replica.configure(configuration));
+    let replaced = copy
+        .catalog
+        .upstreams
+        .is_some_and(|list| replica.replace(now, list));
+    replica.compare(started, &copy.standing);
+    drop(replica);
+    host.members.borrow_mut().add(now, copy.hosts);
+    log::info!(event = "copy_fetched", peer = address.to_string(), configuration = configured, upstreams = replaced; "copy of the catalog fetched from a daemon");
+    if configured || replaced {
+        host.catalog_changed();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,104 @@
+//! Settings of one daemon process.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use dotterelhinge_policy::{allowance, duty, selection, spell};
+
+/// Names of the headers that callers, backend servers and this system use.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Headers {
+    /// Id that the caller gives to each request.
+    pub request_id: &'static str,
+    /// Time that is left for the request, in milliseconds.
+    pub deadline: &'static str,
+    /// Identity of the only backend server that may run the request.
+    pub expected_upstream: &'static str,
+    /// Set by a backend server that did not run the request.
+    pub not_run: &'static str,
+    /// Proof that an answer was made by a backend server.
+    pub signature: &'static str,
+}
+
+impl Default for Headers {
+    fn default() -> Self {
+        Self {
+            request_id: "x-request-id",
+            deadline: "x-deadline-ms",
+            expected_upstream: "dotterelhinge-upstream",
+            not_run: "dotterelhinge-not-run",
+            signature: "dotterelhinge-signature",
+        }
+    }
+}
+
+/// Settings of one daemon process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the host, unique in the fleet.
+    pub host: Arc<str>,
+    /// Availability zone of the host.
+    pub availability_zone: Arc<str>,
+    /// Address at which other daemons reach this host.
+    pub address: Ipv4Addr,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address at which the balancer asks whether the daemon is ready.
+    pub ready: SocketAddr,
+    /// Path of that question.
+    pub ready_path: &'static str,
+    /// Address that is announced to hosts that start, if there is one.
+    pub control: Option<SocketAddr>,
+    /// Port, the same on every host, for datagrams and calls between daemons.
+    pub peer_port: u16,
+    /// Address for counters and histograms.
+    pub metrics: Option<SocketAddr>,
+    /// Hosts to ask for the list of hosts while the store is away.
+    pub seeds: Vec<Ipv4Addr>,
+    /// Time from the order to stop until the process is killed.
+    pub grace: Duration,
+    /// Time within which backend servers that the store lost during an outage
+    /// register themselves again.
+    pub reregistration: Duration,
+    /// Names of headers.
+    pub headers: Headers,
+    /// Terms of the retry budget.
+    pub allowance: allowance::Settings,
+    /// Who reads the store.
+    pub duty: duty::Settings,
+    /// Model of failing backend servers.
+    pub spell: spell::Settings,
+    /// Weights of the choice of a backend server.
+    pub selection: selection::Settings,
+    /// Least severe level that is logged.
+    pub log_level: log::LevelFilter,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            host: Arc::from("localhost"),
+            availability_zone: Arc::from("local"),
+            address: Ipv4Addr::LOCALHOST,
+            listen: any_port,
+            ready: any_port,
+            ready_path: "/ready",
+            control: None,
+            peer_port: 0,
+            metrics: None,
+            seeds: Vec::new(),
+            grace: Duration::from_secs(6),
+            reregistration: Duration::from_secs(2),
+            headers: Headers::default(),
+            allowance: allowance::Settings::default(),
+            duty: duty::Settings::default(),
+            spell: spell::Settings::default(),
+            selection: selection::Settings::default(),
+            log_level: log::LevelFilter::Info,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/duty.rs
@@ -0,0 +1,58 @@
+//! Which hosts read the platform's store for all others.
+//!
+//! Calls to the store are limited and cost money, so a few readers watch it and
+//! pass on what they learn. Readers are not elected and hold no lease: every
+//! host ranks the live hosts by rendezvous hashing, the first ones read all the
+//! time, and the others begin one after the other when news stops coming.
+
+use std::time::Duration;
+
+use crate::rendezvous;
+
+/// Terms of the duty.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Hosts that read all the time.
+    pub readers: usize,
+    /// Age of the newest proof of currency after which the next host reads.
+    pub stale: Duration,
+    /// Further age that each later host waits.
+    pub step: Duration,
+    /// Age after which every host reads, whatever its rank.
+    pub latest: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            readers: 2,
+            stale: Duration::from_millis(800),
+            step: Duration::from_millis(40),
+            latest: Duration::from_millis(1300),
+        }
+    }
+}
+
+/// Key under which hosts are ranked.
+const KEY: &str = "store-reader";
+
+/// Position of `host` among the live `hosts`, which include it.
+pub fn rank<'a>(host: &str, hosts: impl Iterator<Item = &'a str>) -> usize {
+    let own = (rendezvous::weight(KEY, host), host);
+    hosts
+        .filter(|other| (rendezvous::weight(KEY, other), *other) > own)
+        .count()
+}
+
+/// Whether the host with this rank reads the store now. `age` is the age of the
+/// newest proof that this host's copy is current, `None` without a copy.
+pub fn reads(settings: &Settings, rank: usize, age: Option<Duration>) -> bool {
+    let Some(age) = age else {
+        return true;
+    };
+    if rank < settings.readers {
+        return true;
+    }
+    let waits = settings.step * (rank - settings.readers) as u32;
+    age >= (settings.stale + waits).min(settings.latest)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,12 +26,14 @@
 module states.
 */
 
+pub mod allowance;
 pub mod baseline;
 pub mod budget;
 pub mod clock;
 pub mod configuration;
 pub mod contract;
 pub mod detection;
+pub mod duty;
 pub mod fallback;
 pub mod health;
 pub mod idempotency;
@@ -39,3 +41,6 @@
 pub mod placement;
 pub mod rendezvous;
 pub mod retry;
+pub mod selection;
+pub mod spell;
+pub mod split;
--- /dev/null
+++ b/crates/policy/src/spell.rs
@@ -0,0 +1,95 @@
+//! Belief about one backend server that fails in spells.
+//!
+//! A backend server with a gray failure answers nearly all requests with an
+//! error for some seconds, then recovers by itself, while its health check
+//! passes all the time. The filter is a hidden Markov model with two states,
+//! sound and failing. Each outcome updates the probability of the failing state
+//! by Bayes' rule; without outcomes it returns to the long-term share of
+//! failing time. One failure is enough to doubt a server that was seen
+//! well a moment ago, and two good answers are enough to trust it again.
+
+use std::time::{Duration, Instant};
+
+/// Parameters of the model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Share of requests that fail at a sound backend server.
+    pub sound_failures: f64,
+    /// Share of requests that fail at a failing backend server.
+    pub failing_failures: f64,
+    /// Mean time that a backend server stays sound.
+    pub mean_sound: Duration,
+    /// Mean time that a backend server stays failing.
+    pub mean_failing: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            sound_failures: 0.015,
+            failing_failures: 0.85,
+            mean_sound: Duration::from_millis(7000),
+            mean_failing: Duration::from_millis(3000),
+        }
+    }
+}
+
+impl Settings {
+    /// Long-term share of the time that a backend server is failing.
+    pub fn share(&self) -> f64 {
+        let failing = self.mean_failing.as_secs_f64();
+        failing / (failing + self.mean_sound.as_secs_f64())
+    }
+
+    /// Time constant with which a belief without outcomes returns to
+    /// [`Settings::share`].
+    fn relaxation(&self) -> f64 {
+        let rate = self.mean_sound.as_secs_f64().recip() + self.mean_failing.as_secs_f64().recip();
+        rate.recip()
+    }
+}
+
+/// Bounds of a belief. A belief of exactly 0 or 1 could never change again.
+const CERTAIN: std::ops::RangeInclusive<f64> = 0.001..=0.999;
+
+/// Probability that a backend server is failing, as of one moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Belief {
+    probability: f64,
+    at: Instant,
+}
+
+impl Belief {
+    /// Belief about a backend server without any outcome.
+    pub fn new(settings: &Settings, now: Instant) -> Self {
+        Self {
+            probability: settings.share(),
+            at: now,
+        }
+    }
+
+    /// Probability that the backend server is failing at `now`.
+    pub fn failing(&self, settings: &Settings, now: Instant) -> f64 {
+        let idle = now.saturating_duration_since(self.at).as_secs_f64();
+        let kept = (-idle / settings.relaxation()).exp();
+        let share = settings.share();
+        share + (self.probability - share) * kept
+    }
+
+    /// Takes the outcome of one request into account.
+    pub fn observe(&mut self, settings: &Settings, now: Instant, failed: bool) {
+        let prior = self.failing(settings, now);
+        let (failing, sound) = if failed {
+            (settings.failing_failures, settings.sound_failures)
+        } else {
+            (
+                1.0 - settings.failing_failures,
+                1.0 - settings.sound_failures,
+            )
+        };
+        let joint = prior * failing;
+        let posterior = joint / (joint + (1.0 - prior) * sound);
+        self.probability = posterior.clamp(*CERTAIN.start(), *CERTAIN.end());
+        self.at = self.at.max(now);
+    }
+}
