Choose backend servers by expected loss, with evidence before the answer

A belief that decays to the prior from below never reached the threshold at which lookups test a server. Good answers told about a moment 230 ms ago, so an answer that came after a failure hid it.

Change: an attempt that outlives the time of quick failures is evidence at once; the whole answer then says only how long it took. The cost of waiting follows from the route's objective, zones cost by bytes, and the cheaper of two servers within a margin is taken. Only the first reads of the configuration are done by all hosts.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -159,7 +159,7 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Catalog {
     /// The newest configuration, once there is one.
-    pub configuration: Option<Versioned<Arc<Configuration>>>,
+    pub configuration: Option<Arc<Configuration>>,
     /// The backend servers, once they were read.
     pub upstreams: Option<Versioned<Arc<Upstreams>>>,
 }
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -17,6 +17,11 @@
 pub enum Outcome {
     /// A whole answer that is no failure.
     Good,
+    /// The same, after the attempt was told as [`Outcome::Outlived`]. It says
+    /// nothing new about the moment at which the attempt began.
+    Finished,
+    /// The request is at work for longer than a failing server takes to fail.
+    Outlived,
     /// The server answered with a failure, or broke its answer off.
     Failed,
     /// No answer within the time that was given.
@@ -47,6 +52,10 @@
 /// Time in which an extreme pace without new answers returns halfway to 1.
 const PACE_HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Time after which an attempt has outlived the quick failures of a failing
+/// backend server, which needs no work to fail.
+pub const OUTLIVED: Duration = Duration::from_millis(25);
+
 /// Multiple of the usual time from which an attempt is overdue.
 pub const OVERDUE: f64 = 2.5;
 
@@ -224,8 +233,17 @@
             return;
         };
         match seen.outcome {
-            Outcome::Good => {
-                known.belief.observe(&self.settings, now, false);
+            Outcome::Outlived => {
+                known
+                    .belief
+                    .observe(&self.settings, now, spell::Evidence::Outlived);
+            }
+            Outcome::Good | Outcome::Finished => {
+                if seen.outcome == Outcome::Good {
+                    known
+                        .belief
+                        .observe(&self.settings, now, spell::Evidence::Good);
+                }
                 known.full_until = None;
                 known.unreachable = None;
                 if let Some(service) = self.services.get(&seen.upstream) {
@@ -236,10 +254,14 @@
                 }
             }
             Outcome::Failed | Outcome::Silent => {
-                known.belief.observe(&self.settings, now, true);
+                known
+                    .belief
+                    .observe(&self.settings, now, spell::Evidence::Failed);
             }
             Outcome::Shed => {
-                known.belief.observe(&self.settings, now, true);
+                known
+                    .belief
+                    .observe(&self.settings, now, spell::Evidence::Failed);
                 known.full_until = Some(now + FULL);
             }
             Outcome::Overdue => {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,7 +15,7 @@
 };
 
 /// Time for which outcomes are collected into one report.
-const COLLECT: Duration = Duration::from_millis(50);
+const COLLECT: Duration = Duration::from_millis(20);
 
 /// Time between reports of a host that has nothing new to tell.
 const PERIOD: Duration = Duration::from_millis(500);
@@ -180,7 +180,7 @@
     /// Takes a report's evidence into account, unless it was seen before.
     fn note(&self, now: Instant, origin: Ipv4Addr, report: &mut Report) -> bool {
         let mut members = self.host.members.borrow_mut();
-        let Some(member) = members.hear(
+        let Some((member, newest)) = members.hear(
             now,
             origin,
             report.incarnation,
@@ -190,7 +190,10 @@
             return false;
         };
         let mut evidence = self.host.evidence.borrow_mut();
-        if let Some(in_use) = &report.in_use {
+        // Relays may pass two reports of a host on in the wrong order.
+        if let Some(in_use) = &report.in_use
+            && newest
+        {
             evidence.told(now, &member.in_use, in_use);
             member.in_use.clone_from(in_use);
         }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -105,7 +105,10 @@
     /// Takes an outcome of this host into account and tells it to the others.
     pub(crate) fn observe(&self, seen: Seen) {
         self.evidence.borrow_mut().observe(self.now(), &seen);
-        let urgent = !matches!(seen.outcome, Outcome::Good);
+        let urgent = !matches!(
+            seen.outcome,
+            Outcome::Good | Outcome::Finished | Outcome::Outlived
+        );
         self.outbox.borrow_mut().outcomes.push(seen);
         if urgent {
             self.urgent.notify_one();
--- a/crates/gateway/src/peer/members.rs
+++ b/crates/gateway/src/peer/members.rs
@@ -86,8 +86,9 @@
         }
     }
 
-    /// Notes a report. Returns its origin unless the report was seen before or
-    /// the origin is unknown and does not say who it is.
+    /// Notes a report. Returns its origin, and whether no later report came
+    /// before; `None` if the report was seen before, or the origin is unknown
+    /// and does not say who it is.
     pub fn hear(
         &mut self,
         now: Instant,
@@ -95,7 +96,7 @@
         incarnation: u64,
         sequence: u32,
         hello: Option<&Hello>,
-    ) -> Option<&mut Member> {
+    ) -> Option<(&mut Member, bool)> {
         if origin == self.own {
             return None;
         }
@@ -115,7 +116,8 @@
         if let Some(hello) = hello {
             member.leaving = hello.leaving;
         }
-        Some(member)
+        let newest = member.newest == sequence;
+        Some((member, newest))
     }
 
     /// Forgets hosts that were silent for long. Returns the requests in flight
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -27,7 +27,7 @@
 };
 use crate::{
     catalog::Upstream,
-    evidence::{OVERDUE, Outcome, Seen},
+    evidence::{OUTLIVED, OVERDUE, Outcome, Seen},
     host::Host,
 };
 
@@ -76,6 +76,7 @@
     upstream: &'a Upstream,
     key: u64,
     started: Instant,
+    outlived: Cell<bool>,
     overdue: Cell<bool>,
 }
 
@@ -88,6 +89,7 @@
             upstream,
             key,
             started: now,
+            outlived: Cell::new(false),
             overdue: Cell::new(false),
         }
     }
@@ -213,6 +215,7 @@
         Some(Ok(ending)) => ending,
     };
     match &ending {
+        Ending::Answered(_) if flight.outlived.get() => flight.observe(Outcome::Finished),
         Ending::Answered(_) => flight.observe(Outcome::Good),
         Ending::Failed(_) => flight.observe(Outcome::Failed),
         Ending::NotRun {
@@ -253,6 +256,14 @@
         let now = flight.host.now();
         let elapsed = now.saturating_duration_since(flight.started);
         let mut next = order.deadline;
+        if !flight.outlived.get() {
+            if elapsed >= OUTLIVED {
+                flight.outlived.set(true);
+                flight.observe(Outcome::Outlived);
+            } else {
+                next = next.min(flight.started + OUTLIVED);
+            }
+        }
         if let Some(after) = flight.overdue_after()
             && !flight.overdue.get()
         {
--- a/crates/gateway/src/proxy/body.rs
+++ b/crates/gateway/src/proxy/body.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Size of the body as far as known, in kilobytes.
+    pub(super) fn kilobytes(&self) -> f64 {
+        self.size_hint().lower() as f64 / 1024.0
+    }
+
     /// Whether the whole body is held.
     pub(super) fn is_whole(&self) -> bool {
         self.rest.is_none()
--- a/crates/gateway/src/proxy/request.rs
+++ b/crates/gateway/src/proxy/request.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use dotterelhinge_policy::selection::{self, Purpose};
+use dotterelhinge_policy::selection;
 use hyper::{Request, Response, body::Incoming, header, http::request};
 use smallvec::SmallVec;
 
@@ -212,7 +212,7 @@
                     break;
                 }
             }
-            let Some((upstream, failing)) = self.choose(now) else {
+            let Some((upstream, failing)) = self.choose(now, body.kilobytes()) else {
                 break;
             };
             self.tried.push(upstream.key());
@@ -293,7 +293,7 @@
 
     /// The backend server for the next attempt and the probability that it
     /// fails the request.
-    fn choose(&self, now: Instant) -> Option<(Arc<Upstream>, f64)> {
+    fn choose(&self, now: Instant, kilobytes: f64) -> Option<(Arc<Upstream>, f64)> {
         let replica = self.host.replica.borrow();
         let evidence = self.host.evidence.borrow();
         let untried = replica
@@ -312,16 +312,21 @@
             .map(|upstream| evidence.candidate(now, upstream, zone))
             .collect();
         let learn = self.route.repeatable && self.sends == 0 && self.route.attempts > 1;
-        let purpose = if learn && self.affords() {
-            Purpose::Learn
-        } else {
-            Purpose::Serve
+        let usual = evidence.usual(&self.service).unwrap_or_default();
+        let request = selection::Request {
+            usual: usual.as_secs_f64() / self.route.objective.as_secs_f64().max(0.001),
+            kilobytes,
+            purpose: if learn && self.affords() {
+                selection::Purpose::Learn
+            } else {
+                selection::Purpose::Serve
+            },
         };
         let position = selection::choose(
             &self.host.settings.selection,
             now,
             &candidates,
-            purpose,
+            &request,
             &mut *self.host.rng.borrow_mut(),
         )?;
         Some((
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -23,7 +23,7 @@
 /// What a host tells others about its copy.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Standing {
-    /// Store version of the configuration; 0 without one.
+    /// Version of the configuration; 0 without one.
     pub configuration: u64,
     /// Version of the list of upstreams; 0 without one.
     pub upstreams: u64,
@@ -31,6 +31,8 @@
     pub digest: u64,
     /// Store version up to which changes of the list are known.
     pub cursor: u64,
+    /// Store version up to which changes of the configuration are known.
+    pub configuration_cursor: u64,
     /// Age of the proof that the copy is current, in milliseconds.
     pub age_ms: Option<u32>,
 }
@@ -59,6 +61,7 @@
     catalog: Catalog,
     digest: u64,
     cursor: u64,
+    configuration_cursor: Option<u64>,
     proven_configuration: Option<Instant>,
     proven_upstreams: Option<Instant>,
     outage_ended: Option<Instant>,
@@ -74,6 +77,7 @@
             catalog: Catalog::default(),
             digest: 0,
             cursor: 0,
+            configuration_cursor: None,
             proven_configuration: None,
             proven_upstreams: None,
             outage_ended: None,
@@ -89,7 +93,7 @@
 
     /// The configuration in force.
     pub fn configuration(&self) -> Option<&Arc<Configuration>> {
-        Some(&self.catalog.configuration.as_ref()?.value)
+        self.catalog.configuration.as_ref()
     }
 
     /// Store version up to which changes of the list are known.
@@ -144,10 +148,11 @@
     pub fn standing(&self, now: Instant) -> Standing {
         let version = |version: Option<u64>| version.unwrap_or(0);
         Standing {
-            configuration: version(self.catalog.configuration.as_ref().map(|c| c.version)),
+            configuration: version(self.configuration().map(|c| c.version)),
             upstreams: version(self.catalog.upstreams.as_ref().map(|u| u.version)),
             digest: self.digest,
             cursor: self.cursor,
+            configuration_cursor: self.configuration_cursor.unwrap_or(0),
             age_ms: self.age(now).map(|age| age.as_millis() as u32),
         }
     }
@@ -160,9 +165,9 @@
 
     /// Takes over a configuration unless it is older than the one in force.
     /// Returns whether it is new.
-    pub fn configure(&mut self, found: Versioned<Arc<Configuration>>) -> bool {
+    pub fn configure(&mut self, found: Arc<Configuration>) -> bool {
         if let Some(known) = &self.catalog.configuration
-            && (found.version <= known.version || found.value.version < known.value.version)
+            && found.version <= known.version
         {
             return false;
         }
@@ -170,9 +175,16 @@
         true
     }
 
-    /// Notes that the configuration was current at `at`.
-    pub fn prove_configuration(&mut self, at: Instant) {
+    /// Notes that the configuration, or that there is none, was current at
+    /// `at`, up to the store version `cursor`.
+    pub fn prove_configuration(&mut self, at: Instant, cursor: u64) {
         self.proven_configuration = self.proven_configuration.max(Some(at));
+        self.configuration_cursor = self.configuration_cursor.max(Some(cursor));
+    }
+
+    /// Store version from which changes of the configuration are watched.
+    pub fn configuration_cursor(&self) -> Option<u64> {
+        self.configuration_cursor
     }
 
     /// Notes that the list of upstreams was current at `at`, up to the store
@@ -282,8 +294,8 @@
         if let Some(age_ms) = other.age_ms
             && let Some(proven) = now.checked_sub(Duration::from_millis(age_ms.into()))
         {
-            if other.configuration == own.configuration && own.configuration > 0 {
-                self.prove_configuration(proven);
+            if other.configuration == own.configuration {
+                self.prove_configuration(proven, other.configuration_cursor);
             }
             if same_list {
                 self.prove_upstreams(proven, other.cursor);
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -115,13 +115,7 @@
 
 async fn read_configuration(host: &Host, store: &dyn Store) -> store::Result<()> {
     let started = host.now();
-    let known = host
-        .replica
-        .borrow()
-        .catalog()
-        .configuration
-        .as_ref()
-        .map(|configuration| configuration.version);
+    let known = host.replica.borrow().configuration_cursor();
     let found = match known {
         None => store.configuration().await?,
         Some(version) => match store.configuration_after(version, WAIT).await {
@@ -136,22 +130,14 @@
     let mut changed = false;
     if let Some(configuration) = found.value {
         let (version, routes) = (configuration.version, configuration.hosts.len());
-        changed = replica.configure(crate::catalog::Versioned {
-            version: found.version,
-            value: configuration,
-        });
+        changed = replica.configure(configuration);
         log::info!(event = "configuration_read", version = version, store_version = found.version, hosts = routes, adopted = changed; "configuration read from the store");
     }
-    if replica.configuration().is_some() {
-        replica.prove_configuration(at);
-    }
+    replica.prove_configuration(at, found.version);
     drop(replica);
     if changed {
         host.catalog_changed();
         host.urgent.notify_one();
-    } else if known.is_none() {
-        // The first configuration is yet to come.
-        tokio::time::sleep(PAUSE).await;
     }
     Ok(())
 }
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -16,7 +16,7 @@
 use rand::{Rng, RngExt};
 use smallvec::SmallVec;
 
-/// Weights of the choice.
+/// Weights of the choice. Costs are in failed requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Probability of failing from which a backend server is in doubt.
@@ -26,29 +26,33 @@
     /// Backend servers whose cost is higher than the lowest one by more than
     /// this are left out.
     pub margin: f64,
-    /// Cost of a full backend server, relative to a certain failure.
-    pub full: f64,
-    /// Cost of each further queued request per slot.
-    pub queued: f64,
-    /// Cost of one in-use slot share below full.
+    /// Cost of an answer that comes after its objective.
+    pub late: f64,
+    /// Spread of the time of an answer, relative to the objective.
+    pub spread: f64,
+    /// Cost of a backend server whose slots are all in use; fewer cost less.
     pub used: f64,
-    /// Cost of a backend server that takes twice its service's usual time.
-    pub slow: f64,
-    /// Cost of a backend server in another availability zone.
-    pub remote: f64,
+    /// Cost of each further time that a request waits for as long as its
+    /// objective.
+    pub overload: f64,
+    /// Cost of sending a kilobyte of a request to another availability zone.
+    pub remote_kilobyte: f64,
+    /// Kilobytes of an answer, as far as not known before.
+    pub answer_kilobytes: f64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            doubt: 0.3,
+            doubt: 0.08,
             test_every: Duration::from_millis(250),
-            margin: 0.05,
-            full: 0.12,
-            queued: 0.25,
-            used: 0.03,
-            slow: 0.15,
-            remote: 0.0,
+            margin: 0.09,
+            late: 0.4,
+            spread: 0.18,
+            used: 0.06,
+            overload: 0.2,
+            remote_kilobyte: 0.0025,
+            answer_kilobytes: 3.0,
         }
     }
 }
@@ -70,6 +74,18 @@
     pub sent: Option<Instant>,
 }
 
+/// The request that a backend server is chosen for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    /// Usual time of an answer of the service, relative to the objective of
+    /// the request.
+    pub usual: f64,
+    /// Size of the request.
+    pub kilobytes: f64,
+    /// What the attempt may be used for.
+    pub purpose: Purpose,
+}
+
 /// What the attempt may be used for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Purpose {
@@ -84,15 +100,15 @@
     settings: &Settings,
     now: Instant,
     candidates: &[Candidate],
-    purpose: Purpose,
+    request: &Request,
     rng: &mut impl Rng,
 ) -> Option<usize> {
-    if purpose == Purpose::Learn
+    if request.purpose == Purpose::Learn
         && let Some(tested) = doubtful(settings, now, candidates)
     {
         return Some(tested);
     }
-    least_cost(settings, candidates, rng)
+    least_cost(settings, candidates, request, rng)
 }
 
 /// The doubtful backend server whose last request is the longest ago.
@@ -112,10 +128,18 @@
         .map(|(position, _)| position)
 }
 
-fn least_cost(settings: &Settings, candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
+/// The cheaper of two random backend servers among those that cost least.
+/// Every host chooses from the same evidence, so the single best one would be
+/// chosen by all of them at once.
+fn least_cost(
+    settings: &Settings,
+    candidates: &[Candidate],
+    request: &Request,
+    rng: &mut impl Rng,
+) -> Option<usize> {
     let costs: SmallVec<[f64; 64]> = candidates
         .iter()
-        .map(|candidate| cost(settings, candidate))
+        .map(|candidate| cost(settings, candidate, request))
         .collect();
     let lowest = costs.iter().copied().min_by(f64::total_cmp)?;
     let good: SmallVec<[usize; 64]> = (0..costs.len())
@@ -131,14 +155,22 @@
 }
 
 /// Expected loss of an attempt, in failed requests.
-pub fn cost(settings: &Settings, candidate: &Candidate) -> f64 {
-    let used = candidate.in_use / candidate.slots.max(1.0);
-    let waiting = if used >= 1.0 {
-        settings.full + settings.queued * (used - 1.0)
-    } else {
+///
+/// A backend server without a free slot makes the request wait; whether that
+/// matters depends on the request's objective. Below its slots the load costs
+/// nothing, so that requests gather on the backend servers with the newest
+/// evidence: fewer of them can then turn bad unseen.
+pub fn cost(settings: &Settings, candidate: &Candidate, request: &Request) -> f64 {
+    let slots = candidate.slots.max(1.0);
+    let waiting = (candidate.in_use + 1.0 - slots).max(0.0) / slots;
+    let expected = request.usual * candidate.pace * (1.0 + waiting);
+    let late = 1.0 / (1.0 + ((1.0 - expected) / settings.spread).exp());
+    let remote = if candidate.near {
         0.0
+    } else {
+        settings.remote_kilobyte * (request.kilobytes + settings.answer_kilobytes)
     };
-    let slow = settings.slow * (candidate.pace - 1.0).clamp(0.0, 6.0);
-    let remote = if candidate.near { 0.0 } else { settings.remote };
-    candidate.failing + settings.used * used + waiting + slow + remote
+    let used = settings.used * candidate.in_use / slots;
+    let overload = settings.overload * (expected - 1.0).max(0.0);
+    candidate.failing + used + settings.late * late + overload + remote
 }
--- a/crates/policy/src/spell.rs
+++ b/crates/policy/src/spell.rs
@@ -17,6 +17,9 @@
     pub sound_failures: f64,
     /// Share of requests that fail at a failing backend server.
     pub failing_failures: f64,
+    /// Share of the failures of a failing backend server that come within its
+    /// usual time to fail.
+    pub quick_failures: f64,
     /// Mean time that a backend server stays sound.
     pub mean_sound: Duration,
     /// Mean time that a backend server stays failing.
@@ -28,6 +31,7 @@
         Self {
             sound_failures: 0.015,
             failing_failures: 0.85,
+            quick_failures: 0.95,
             mean_sound: Duration::from_millis(7000),
             mean_failing: Duration::from_millis(3000),
         }
@@ -52,6 +56,19 @@
 /// Bounds of a belief. A belief of exactly 0 or 1 could never change again.
 const CERTAIN: std::ops::RangeInclusive<f64> = 0.001..=0.999;
 
+/// What one request tells about a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Evidence {
+    /// The request failed.
+    Failed,
+    /// The request is still at work after the time in which a failing backend
+    /// server usually fails. This is known long before the answer, and the
+    /// moment that it tells about is the same.
+    Outlived,
+    /// The request was answered well.
+    Good,
+}
+
 /// Probability that a backend server is failing, as of one moment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Belief {
@@ -77,15 +94,18 @@
     }
 
     /// Takes the outcome of one request into account.
-    pub fn observe(&mut self, settings: &Settings, now: Instant, failed: bool) {
+    pub fn observe(&mut self, settings: &Settings, now: Instant, evidence: Evidence) {
         let prior = self.failing(settings, now);
-        let (failing, sound) = if failed {
-            (settings.failing_failures, settings.sound_failures)
-        } else {
-            (
+        let (failing, sound) = match evidence {
+            Evidence::Failed => (settings.failing_failures, settings.sound_failures),
+            Evidence::Outlived => (
+                1.0 - settings.failing_failures * settings.quick_failures,
+                1.0 - settings.sound_failures,
+            ),
+            Evidence::Good => (
                 1.0 - settings.failing_failures,
                 1.0 - settings.sound_failures,
-            )
+            ),
         };
         let joint = prior * failing;
         let posterior = joint / (joint + (1.0 - prior) * sound);
