Prove the data plane with real processes; reload, pauses and a store stand-in

A reload takes over seeds, grace and the retry budget, and refuses an invalid file. The clock reads the time since boot, and a gap makes the host compare its copy anew.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -9,15 +9,18 @@
 
 use dotterelhinge_policy::clock;
 use error_stack::{Report, ResultExt};
-use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use tokio::{
+    net::{TcpListener, TcpSocket, UdpSocket},
+    signal::unix::{Signal, SignalKind, signal},
+};
 
 use crate::{
     control,
     exchange::Exchange,
     host::Host,
-    proxy,
+    proxy, reload,
     replication::{self, Fetch},
-    settings::Settings,
+    settings,
     store::Store,
 };
 
@@ -46,7 +49,11 @@
 }
 
 /// Runs a daemon until its planned stop has ended.
-pub async fn run(settings: Settings, store: Rc<dyn Store>) -> Result<(), Report<Error>> {
+pub async fn run(
+    settings: settings::Settings,
+    source: Rc<dyn settings::Source>,
+    store: Rc<dyn Store>,
+) -> Result<(), Report<Error>> {
     let host = Host::new(settings, Arc::new(clock::System));
     let settings = &host.settings;
     let peer = SocketAddr::from((settings.address, settings.peer_port));
@@ -77,6 +84,7 @@
     actix_rt::spawn(fetching);
     actix_rt::spawn(Exchange::new(Rc::clone(&host), socket, fetch.clone()).run());
     actix_rt::spawn(replication::run(Rc::clone(&host), store, fetch));
+    actix_rt::spawn(reload::run(Rc::clone(&host), source, hangups()?));
     actix_rt::spawn(proxy::serve(Rc::clone(&host), listener));
     wait_for_stop().await?;
     stop(&host).await;
@@ -95,9 +103,11 @@
         .attach_with(|| format!("callers {address}"))
 }
 
-async fn wait_for_stop() -> Result<(), Report<Error>> {
-    use tokio::signal::unix::{SignalKind, signal};
+fn hangups() -> Result<Signal, Report<Error>> {
+    signal(SignalKind::hangup()).change_context(Error::Setup)
+}
 
+async fn wait_for_stop() -> Result<(), Report<Error>> {
     let mut terminate = signal(SignalKind::terminate()).change_context(Error::Setup)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(Error::Setup)?;
     tokio::select! {
@@ -116,7 +126,7 @@
     host.shared.set_ready(false);
     host.urgent.notify_one();
     log::info!(event = "stopping", serving = host.serving.get(); "planned stop begins");
-    let end = began + host.settings.grace.saturating_sub(RESERVE);
+    let end = began + host.terms().grace.saturating_sub(RESERVE);
     loop {
         tokio::time::sleep(LOOK).await;
         let now = host.now();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,6 +20,10 @@
 /// Time between reports of a host that has nothing new to tell.
 const PERIOD: Duration = Duration::from_millis(500);
 
+/// A gap between two ticks from which the process counts as having stood
+/// still.
+const PAUSE: Duration = Duration::from_secs(1);
+
 /// Sends and receives until the process ends.
 pub(crate) struct Exchange {
     host: Rc<Host>,
@@ -29,6 +33,7 @@
     sequence: u32,
     told: Vec<(u64, u8)>,
     reported: Option<Instant>,
+    ticked: Option<(Instant, Duration)>,
 }
 
 impl Exchange {
@@ -43,6 +48,7 @@
             sequence: 0,
             told: Vec::new(),
             reported: None,
+            ticked: None,
         }
     }
 
@@ -69,6 +75,7 @@
 
     fn tick(&mut self) {
         let now = self.host.now();
+        self.notice_pause(now);
         let lost = self.host.members.borrow_mut().expire(now);
         self.host.evidence.borrow_mut().told(now, &lost, &[]);
         let in_use = self.host.evidence.borrow().in_use();
@@ -111,6 +118,21 @@
         self.spread(now, &mut report, periodic);
     }
 
+    /// Distrusts the copy of the catalog if the process or its machine stood
+    /// still since the last tick.
+    fn notice_pause(&mut self, now: Instant) {
+        let uptime = self.host.clock.uptime();
+        if let Some((last, last_uptime)) = self.ticked.replace((now, uptime)) {
+            let gap = now
+                .saturating_duration_since(last)
+                .max(uptime.saturating_sub(last_uptime));
+            if gap >= PAUSE {
+                log::warn!(event = "paused", gap_ms = gap.as_millis() as u64; "the process stood still");
+                self.host.replica.borrow_mut().doubt();
+            }
+        }
+    }
+
     fn spread(&mut self, now: Instant, report: &mut Report, greet: bool) {
         let mut members = self.host.members.borrow_mut();
         let mut direct: Vec<Ipv4Addr> = members.neighbours(now).collect();
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -19,7 +19,7 @@
     metrics,
     peer::members::Members,
     replica::{Delta, Replica},
-    settings::Settings,
+    settings::{Settings, Terms},
 };
 
 /// What waits to be told to other hosts.
@@ -35,6 +35,8 @@
 pub(crate) struct Host {
     /// Settings of the process.
     pub settings: Settings,
+    /// Settings that may change while it runs.
+    pub terms: RefCell<Rc<Terms>>,
     /// The clock.
     pub clock: Arc<dyn clock::Clock>,
     /// Copy of the catalog.
@@ -87,6 +89,7 @@
             stopping: Cell::new(false),
             stopping_since: Cell::new(None),
             serving: Cell::new(0),
+            terms: RefCell::new(Rc::new(settings.terms.clone())),
             settings,
             clock,
         })
@@ -97,6 +100,11 @@
         self.clock.now()
     }
 
+    /// The terms in force.
+    pub(crate) fn terms(&self) -> Rc<Terms> {
+        Rc::clone(&self.terms.borrow())
+    }
+
     /// Number of live hosts, with this one.
     pub(crate) fn hosts(&self) -> usize {
         self.members.borrow().alive(self.now())
@@ -149,7 +157,7 @@
     /// Counts a request for `service`, which earns retries.
     pub(crate) fn earn(&self, service: &Arc<str>) {
         let hosts = self.hosts();
-        let terms = &self.settings.allowance;
+        let terms = &self.terms().allowance;
         self.allowances
             .borrow_mut()
             .entry(Arc::clone(service))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 
 ```no_run
 # use std::rc::Rc;
-# async fn example(store: Rc<dyn dotterelhinge_gateway::store::Store>) {
+# use dotterelhinge_gateway::store::Store;
+# async fn example(source: Rc<dyn settings::Source>, store: Rc<dyn Store>) {
 use dotterelhinge_gateway::{daemon, settings};
 
 let settings = settings::Settings {
@@ -13,7 +14,7 @@
     listen: "10.0.0.1:8000".parse().unwrap(),
     ..settings::Settings::default()
 };
-daemon::run(settings, store).await.unwrap();
+daemon::run(settings, source, store).await.unwrap();
 # }
 ```
 
@@ -42,6 +43,7 @@
 pub mod metrics;
 pub mod peer;
 mod proxy;
+mod reload;
 pub mod replica;
 mod replication;
 pub mod settings;
--- a/crates/gateway/src/proxy/request.rs
+++ b/crates/gateway/src/proxy/request.rs
@@ -172,7 +172,7 @@
 fn refuses_at_stop(host: &Host) -> bool {
     host.stopping_since
         .get()
-        .is_some_and(|since| host.now() >= since + host.settings.grace.mul_f64(STOP_REFUSES))
+        .is_some_and(|since| host.now() >= since + host.terms().grace.mul_f64(STOP_REFUSES))
 }
 
 impl Exchange<'_> {
--- /dev/null
+++ b/crates/gateway/src/reload.rs
@@ -0,0 +1,50 @@
+//! Takes over changed settings while the daemon runs.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::signal::unix::Signal;
+
+use crate::{
+    host::Host,
+    settings::{Settings, Source, Terms},
+};
+
+/// Time between two looks whether the settings have changed without a signal.
+const LOOK: Duration = Duration::from_secs(2);
+
+/// Takes over settings at each signal and after each change.
+pub(crate) async fn run(host: Rc<Host>, source: Rc<dyn Source>, mut hangups: Signal) {
+    let mut stamp = source.stamp();
+    loop {
+        tokio::select! {
+            _ = hangups.recv() => stamp = source.stamp(),
+            () = tokio::time::sleep(LOOK) => {
+                let now = source.stamp();
+                if now == stamp {
+                    continue;
+                }
+                stamp = now;
+            }
+        }
+        match source.load() {
+            Ok(settings) => adopt(&host, &settings),
+            Err(error) => {
+                log::error!(event = "reload_refused", error = format!("{error:?}"); "changed settings can't be used; the ones in force stay");
+            }
+        }
+    }
+}
+
+fn adopt(host: &Host, settings: &Settings) {
+    let fixed = Settings {
+        terms: Terms::default(),
+        ..settings.clone()
+    };
+    let running = Settings {
+        terms: Terms::default(),
+        ..host.settings.clone()
+    };
+    let changed = *host.terms() != settings.terms;
+    *host.terms.borrow_mut() = Rc::new(settings.terms.clone());
+    log::info!(event = "reloaded", changed = changed, needs_restart = fixed != running; "settings reloaded");
+}
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -238,7 +238,7 @@
 
 /// Asks other daemons for a first copy while the store gives none.
 async fn ask_peers(host: &Host, fetch: Fetch) {
-    let mut seeds = host.settings.seeds.iter().cycle();
+    let mut asked = 0;
     loop {
         tokio::time::sleep(ASK_PEERS).await;
         if host.replica.borrow().catalog().complete() {
@@ -248,9 +248,12 @@
             .members
             .borrow()
             .any(host.now(), &mut *host.rng.borrow_mut());
-        if let Some(address) = known.or_else(|| seeds.next().copied()) {
+        let seeds = &host.terms().seeds;
+        let seed = || seeds.get(asked % seeds.len().max(1)).copied();
+        if let Some(address) = known.or_else(seed) {
             fetch.from(address);
         }
+        asked += 1;
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,6 +7,7 @@
 };
 
 use dotterelhinge_policy::{allowance, duty, selection, spell};
+use error_stack::Report;
 
 /// Names of the headers that callers, backend servers and this system use.
 #[derive(Clone, Debug, PartialEq)]
@@ -56,17 +57,11 @@
     pub peer_port: u16,
     /// Address for counters and histograms.
     pub metrics: Option<SocketAddr>,
-    /// Hosts to ask for the list of hosts while the store is away.
-    pub seeds: Vec<Ipv4Addr>,
-    /// Time from the order to stop until the process is killed.
-    pub grace: Duration,
     /// Time within which backend servers that the store lost during an outage
     /// register themselves again.
     pub reregistration: Duration,
     /// Names of headers.
     pub headers: Headers,
-    /// Terms of the retry budget.
-    pub allowance: allowance::Settings,
     /// Who reads the store.
     pub duty: duty::Settings,
     /// Model of failing backend servers.
@@ -75,6 +70,49 @@
     pub selection: selection::Settings,
     /// Least severe level that is logged.
     pub log_level: log::LevelFilter,
+    /// Settings that a running daemon takes over.
+    pub terms: Terms,
+}
+
+/// Settings that a running daemon takes over when they change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    /// Hosts to ask for the list of hosts while the store is away.
+    pub seeds: Vec<Ipv4Addr>,
+    /// Time from the order to stop until the process is killed.
+    pub grace: Duration,
+    /// Terms of the retry budget.
+    pub allowance: allowance::Settings,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            seeds: Vec::new(),
+            grace: Duration::from_secs(6),
+            allowance: allowance::Settings::default(),
+        }
+    }
+}
+
+/// Why settings can't be loaded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// They can't be read.
+    #[error("the settings can't be read")]
+    Read,
+    /// They are not valid.
+    #[error("the settings are not valid")]
+    Invalid,
+}
+
+/// Where the settings come from.
+pub trait Source {
+    /// Loads and checks the settings.
+    fn load(&self) -> Result<Settings, Report<Error>>;
+
+    /// Differs after a change of the settings; `None` if that can't be told.
+    fn stamp(&self) -> Option<u64>;
 }
 
 impl Default for Settings {
@@ -90,15 +128,13 @@
             control: None,
             peer_port: 0,
             metrics: None,
-            seeds: Vec::new(),
-            grace: Duration::from_secs(6),
             reregistration: Duration::from_secs(2),
             headers: Headers::default(),
-            allowance: allowance::Settings::default(),
             duty: duty::Settings::default(),
             spell: spell::Settings::default(),
             selection: selection::Settings::default(),
             log_level: log::LevelFilter::Info,
+            terms: Terms::default(),
         }
     }
 }
--- a/crates/standin/src/backend/answer.rs
+++ b/crates/standin/src/backend/answer.rs
@@ -46,6 +46,14 @@
     pub(crate) fn not_run(head: &head::Request) -> Self {
         let mut answer = Self::error(503, "not run");
         answer.headers.push(("x-not-run", "1".to_owned()));
+        answer.headers.push(("x-not-executed", "1".to_owned()));
+        answer.echo(head.headers.get("x-request-id"));
+        answer
+    }
+
+    /// Answer of a server that the request does not expect.
+    pub(crate) fn misdirected(head: &head::Request) -> Self {
+        let mut answer = Self::error(421, "another server");
         answer.echo(head.headers.get("x-request-id"));
         answer
     }
@@ -60,6 +68,9 @@
     pub(crate) fn encode(&self, server: &str) -> Vec<u8> {
         let mut head = format!("HTTP/1.1 {} {}\r\n", self.status, reason(self.status));
         head.push_str(&format!("x-server: {server}\r\n"));
+        if self.status != 503 && self.status != 421 {
+            head.push_str(&format!("x-server-stamp: {server}\r\n"));
+        }
         for (name, value) in &self.headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
@@ -106,6 +117,7 @@
     match status {
         200 => "OK",
         400 => "Bad Request",
+        421 => "Misdirected Request",
         500 => "Internal Server Error",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
--- a/crates/standin/src/backend/connection.rs
+++ b/crates/standin/src/backend/connection.rs
@@ -139,6 +139,12 @@
     let keeps_alive = head.keeps_alive() && decoder.is_done();
     let mut answer = if head.path() == "/health" {
         probe(server, stream).await?
+    } else if head
+        .headers
+        .get("x-expect-instance")
+        .is_some_and(|expected| expected != &*server.name)
+    {
+        Answer::misdirected(&head)
     } else {
         let class = class(&head);
         let plan = server.plan(&head, &class);
--- /dev/null
+++ b/crates/standin/src/gateway.rs
@@ -0,0 +1,352 @@
+//! A small fleet on loopback: store of rows, backend servers, and daemons of
+//! the users' platform as separate processes. For tests and the soak.
+
+use std::fs;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use error_stack::{Report, ResultExt};
+use serde_json::{Value, json};
+
+use crate::backend::record::Page;
+use crate::client;
+use crate::process::{Process, Ready, free_addresses};
+
+/// First loopback address of a daemon; daemon `i` has the address `i` after it.
+const FIRST_HOST: u8 = 10;
+
+/// A part of the fleet did not start or did not answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the fleet can't be run")]
+pub struct Error;
+
+/// Result of a step.
+pub type Result<T> = std::result::Result<T, Report<Error>>;
+
+/// Size of the fleet.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Daemons.
+    pub hosts: usize,
+    /// Backend servers of the only service.
+    pub upstreams: usize,
+    /// Mean time that a backend server works on a request.
+    pub work: Duration,
+    /// Time after SIGTERM until the platform would kill a daemon.
+    pub grace: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            hosts: 3,
+            upstreams: 4,
+            work: Duration::from_millis(30),
+            grace: Duration::from_secs(6),
+        }
+    }
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    settings: Settings,
+    directory: PathBuf,
+    ports: [u16; 5],
+    /// Address of the store as the daemons see it.
+    pub store_path: String,
+    /// The store.
+    pub store: Process,
+    /// The backend servers.
+    pub backends: Process,
+    /// The daemons; `None` while one is down.
+    pub hosts: Vec<Option<Process>>,
+    version: u64,
+    next_request: u64,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Id of the request.
+    pub id: String,
+    /// Status, or `None` without an answer.
+    pub status: Option<u16>,
+    /// The header that asks to come back.
+    pub retry_after: Option<String>,
+    /// Time until the answer.
+    pub taken: Duration,
+}
+
+impl Fleet {
+    /// Starts all parts; every backend server is registered and the first
+    /// configuration is written.
+    pub fn start(settings: Settings) -> Result<Self> {
+        let store =
+            Process::start("standin-rows", &["--listen", "127.0.0.1:0"]).change_context(Error)?;
+        let count = settings.upstreams.to_string();
+        let work = settings.work.as_millis().to_string();
+        let backends = Process::start(
+            "standin-backend",
+            &[
+                "--listen",
+                "127.0.0.1:0",
+                "--control",
+                "127.0.0.1:0",
+                "--count",
+                &count,
+                "--service-ms",
+                &work,
+                "--distribution",
+                "fixed",
+            ],
+        )
+        .change_context(Error)?;
+        let free = free_addresses(5);
+        let mut ports = [0; 5];
+        for (port, address) in ports.iter_mut().zip(&free) {
+            *port = address.port();
+        }
+        let directory = std::env::temp_dir().join(format!("dotterelhinge-{}", store.id()));
+        fs::create_dir_all(&directory).change_context(Error)?;
+        let mut fleet = Fleet {
+            store_path: store.listening().to_owned(),
+            hosts: (0..settings.hosts).map(|_| None).collect(),
+            settings,
+            directory,
+            ports,
+            store,
+            backends,
+            version: 0,
+            next_request: 0,
+        };
+        for index in 0..fleet.settings.upstreams {
+            fleet.register(index, "ready")?;
+        }
+        fleet.configure(&json!({}))?;
+        for host in 0..fleet.settings.hosts {
+            fleet.start_host(host)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Loopback address of a daemon.
+    pub fn ip(&self, host: usize) -> String {
+        format!("127.0.0.{}", usize::from(FIRST_HOST) + host)
+    }
+
+    /// Address for callers of a daemon.
+    pub fn front(&self, host: usize) -> String {
+        format!("{}:{}", self.ip(host), self.ports[0])
+    }
+
+    /// Address for the balancer's question.
+    pub fn ready_address(&self, host: usize) -> String {
+        format!("{}:{}", self.ip(host), self.ports[1])
+    }
+
+    /// Path of a daemon's settings file.
+    pub fn settings_file(&self, host: usize) -> PathBuf {
+        self.directory.join(format!("host-{host}.toml"))
+    }
+
+    /// Starts a daemon and waits until it is ready.
+    pub fn start_host(&mut self, host: usize) -> Result<()> {
+        let (address, path) = (self.ready_address(host), "/api/ready".to_owned());
+        self.start_host_until(host, &Ready::Http { address, path })
+    }
+
+    /// Starts a daemon and waits until it shows that it runs.
+    pub fn start_host_until(&mut self, host: usize, ready: &Ready) -> Result<()> {
+        let file = self.settings_file(host);
+        fs::write(&file, self.settings_text(host)).change_context(Error)?;
+        let path = file.to_string_lossy().into_owned();
+        let process = Process::start_with(
+            "dotterelhinge-gateway",
+            &[],
+            &[("DOTTERELHINGE_CONFIG", &path)],
+            ready,
+        )
+        .change_context(Error)?;
+        self.hosts[host] = Some(process);
+        Ok(())
+    }
+
+    /// A running daemon.
+    pub fn host(&self, host: usize) -> Result<&Process> {
+        self.hosts[host].as_ref().ok_or(Report::new(Error))
+    }
+
+    fn settings_text(&self, host: usize) -> String {
+        let ip = self.ip(host);
+        let [front, ready, control, first, last] = self.ports;
+        let seeds: Vec<String> = (0..self.settings.hosts.min(3))
+            .map(|seed| format!("\"{}:{control}\"", self.ip(seed)))
+            .collect();
+        format!(
+            "[self]\nnode = \"host-{host}\"\nip = \"{ip}\"\nzone = \"zone-{}\"\n\
+             [network]\nportRange = [{first}, {last}]\nseeds = [{}]\n\
+             [network.listen]\nfront = \"{ip}:{front}\"\nready = \"{ip}:{ready}\"\ncontrol = \"{ip}:{control}\"\n\
+             [platform.platform]\naddress = \"{}\"\n\
+             [terms.bounds]\ngrace = \"{}ms\"\nretryBudgetRatio = 0.2\nbudgetSlack = 60\n",
+            host % 2,
+            seeds.join(","),
+            self.store_path,
+            self.settings.grace.as_millis(),
+        )
+    }
+
+    /// Address of a backend server.
+    pub fn upstream(&self, index: usize) -> String {
+        self.backends.ready()["servers"][index]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+
+    /// Writes the entry of a backend server.
+    pub fn register(&self, index: usize, state: &str) -> Result<()> {
+        self.put(
+            "servers",
+            &format!("backend-{index}"),
+            &json!({
+                "address": self.upstream(index),
+                "info": {"service": "desk", "version": "v1", "zone": format!("zone-{}", index % 2), "slots": 3},
+                "status": {"state": state, "seq": 1, "coldLeft": "0ms"},
+            }),
+        )
+    }
+
+    /// Drops the entry of a backend server.
+    pub fn unregister(&self, index: usize) -> Result<()> {
+        let place = json!({"table": "servers", "key": format!("backend-{index}")});
+        self.control("/control/transact", &json!({"remove": [place]}))
+    }
+
+    /// Writes a row.
+    pub fn put(&self, table: &str, key: &str, value: &Value) -> Result<()> {
+        let put = json!({"table": table, "key": key, "json": value});
+        self.control("/control/transact", &json!({"puts": [put]}))
+    }
+
+    /// Sets a fault of the store.
+    pub fn store_fault(&self, fault: &Value) -> Result<()> {
+        self.control("/control/fault", fault)
+    }
+
+    /// Makes the store forget its history.
+    pub fn compact(&self) -> Result<()> {
+        self.control("/control/compact", &json!({}))
+    }
+
+    fn control(&self, path: &str, body: &Value) -> Result<()> {
+        let answer = client::post(self.store.listening(), path, body).change_context(Error)?;
+        match answer.status / 100 {
+            2 => Ok(()),
+            _ => Err(Report::new(Error).attach(format!("{path}: {}", answer.status))),
+        }
+    }
+
+    /// Sets a fault of backend servers.
+    pub fn fault(&self, servers: &[usize], fault: &Value) -> Result<()> {
+        let body = json!({"servers": servers, "fault": fault});
+        let answer =
+            client::post(self.backends.control(), "/fault", &body).change_context(Error)?;
+        match answer.status {
+            200 => Ok(()),
+            status => Err(Report::new(Error).attach(format!("fault: {status}"))),
+        }
+    }
+
+    /// Writes the next version of the configuration, with `more` paths beside
+    /// the usual ones: an object from prefix to the fields that differ.
+    pub fn configure(&mut self, more: &Value) -> Result<u64> {
+        self.version += 3;
+        let mut paths = vec![
+            route("/lookup/", "safe", &json!({})),
+            route("/order/", "unsafe", &json!({})),
+            route("/scan/", "upload", &json!({})),
+        ];
+        for (prefix, fields) in more.as_object().into_iter().flatten() {
+            paths.push(route(prefix, "safe", fields));
+        }
+        let hosts: Vec<Value> = (0..self.settings.hosts)
+            .map(|host| json!({"host": self.ip(host), "paths": paths}))
+            .collect();
+        let configuration = json!({
+            "version": self.version,
+            "services": [{"name": "desk", "healthPath": "/health", "maxConns": 400, "protocol": "h1", "tls": false}],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67_108_864,
+                "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
+            "hosts": hosts,
+        });
+        self.put("op", "config", &configuration)?;
+        Ok(self.version)
+    }
+
+    /// Sends one request to a daemon and waits for its end.
+    pub fn ask(&mut self, host: usize, method: &str, path: &str, body: &[u8]) -> Answer {
+        self.next_request += 1;
+        let id = format!("request-{}", self.next_request);
+        call(&self.front(host), method, path, &id, body)
+    }
+
+    /// Whether a daemon says that it is ready.
+    pub fn is_ready(&self, host: usize) -> bool {
+        client::get(&self.ready_address(host), "/api/ready")
+            .is_ok_and(|answer| answer.status == 200)
+    }
+
+    /// Requests that the backend servers began.
+    pub fn record(&self) -> Result<Page> {
+        let answer = client::get(self.backends.control(), "/record").change_context(Error)?;
+        serde_json::from_slice(&answer.body).change_context(Error)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // The directory is below the system's own for temporary files.
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
+fn route(prefix: &str, kind: &str, fields: &Value) -> Value {
+    let mut route = json!({
+        "name": format!("r{}", prefix.replace('/', "-")), "prefix": prefix, "kind": kind, "service": "desk",
+        "timeout": "4000ms", "targetLatency": "600ms", "priority": 1, "maxAttempts": 2,
+    });
+    if let (Some(route), Some(fields)) = (route.as_object_mut(), fields.as_object()) {
+        route.extend(fields.clone());
+    }
+    route
+}
+
+/// Sends one request on a connection of its own and waits for its end.
+pub fn call(front: &str, method: &str, path: &str, id: &str, body: &[u8]) -> Answer {
+    let started = Instant::now();
+    let headers = [("x-request-id", id), ("x-deadline-ms", "4000")];
+    let answer = client::request(front, method, path, &headers, body, Duration::from_secs(6));
+    Answer {
+        id: id.to_owned(),
+        status: answer.as_ref().ok().map(|answer| answer.status),
+        retry_after: answer
+            .ok()
+            .and_then(|answer| answer.headers.get("retry-after").map(str::to_owned)),
+        taken: started.elapsed(),
+    }
+}
+
+/// Waits until `holds`, at most for `limit`; returns whether it held.
+pub fn eventually(limit: Duration, mut holds: impl FnMut() -> bool) -> bool {
+    let until = Instant::now() + limit;
+    loop {
+        if holds() {
+            return true;
+        }
+        if Instant::now() >= until {
+            return false;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/rows/server.rs
@@ -0,0 +1,273 @@
+//! The store of rows over HTTP.
+
+use std::any::Any;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsFd;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, dev, rt, web};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::rows::state::{Access, Admission, Fault, Place, State, Transaction};
+
+/// Longest wait of a feed.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// Second handle of a connection, to close it without an answer.
+struct Connection(TcpStream);
+
+/// State and a signal of its changes.
+pub struct Shared {
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+    started: Instant,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Steady clock of the store.
+    fn now(&self) -> String {
+        format!("{}ms", self.started.elapsed().as_millis())
+    }
+}
+
+/// A bound server.
+#[derive(Debug)]
+pub struct Server {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl Server {
+    /// Binds the address.
+    pub fn bind(address: &str) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        Ok(Server { listener, address })
+    }
+
+    /// Bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Starts serving. Must be called inside an actix system.
+    pub fn run(self) -> io::Result<dev::Server> {
+        let shared = web::Data::new(Shared {
+            state: Mutex::new(State::default()),
+            changed: watch::Sender::new(1),
+            started: Instant::now(),
+        });
+        let server = HttpServer::new(move || {
+            App::new()
+                .app_data(shared.clone())
+                .app_data(web::JsonConfig::default().limit(4 << 20))
+                .route("/api/rows-tx", web::post().to(transact))
+                .route("/api/rows-get", web::get().to(rows))
+                .route("/api/rows-feed", web::get().to(feed))
+                .route("/control/transact", web::post().to(control_transact))
+                .route("/control/fault", web::post().to(control_fault))
+                .route("/control/compact", web::post().to(control_compact))
+                .route("/control/calls", web::get().to(control_calls))
+        })
+        .on_connect(|connection: &dyn Any, data| {
+            if let Some(stream) = connection.downcast_ref::<rt::net::TcpStream>()
+                && let Ok(handle) = stream.as_fd().try_clone_to_owned()
+            {
+                data.insert(Arc::new(Connection(TcpStream::from(handle))));
+            }
+        })
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(1)
+        .listen(self.listener)?
+        .run();
+        Ok(server)
+    }
+}
+
+/// Lets a call in, or makes the answer that it gets instead.
+async fn admit(
+    request: &HttpRequest,
+    shared: &Shared,
+    call: &str,
+    access: Access,
+) -> Result<bool, HttpResponse> {
+    let from = request
+        .peer_addr()
+        .map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
+    let admission = shared.lock().admit(call, access, from, Instant::now());
+    match admission {
+        Admission::Serve { delay, lose } => {
+            if !delay.is_zero() {
+                rt::time::sleep(delay).await;
+            }
+            Ok(lose)
+        }
+        Admission::Refuse(429) => Err(HttpResponse::TooManyRequests().finish()),
+        Admission::Refuse(_) => Err(HttpResponse::ServiceUnavailable().finish()),
+        Admission::Silent => {
+            std::future::pending::<()>().await;
+            Err(HttpResponse::ServiceUnavailable().finish())
+        }
+    }
+}
+
+fn apply(shared: &Shared, transaction: &Transaction) -> HttpResponse {
+    let outcome = shared.lock().transact(transaction, Instant::now());
+    match outcome {
+        Ok(ver) => {
+            shared.changed.send_replace(ver);
+            HttpResponse::Ok().json(json!({"ver": ver, "now": shared.now()}))
+        }
+        Err(rows) => HttpResponse::PreconditionFailed().json(json!({
+            "rows": rows, "ver": shared.lock().version(), "now": shared.now(),
+        })),
+    }
+}
+
+async fn transact(
+    request: HttpRequest,
+    shared: web::Data<Shared>,
+    transaction: web::Json<Transaction>,
+) -> HttpResponse {
+    match admit(&request, &shared, "rows-tx", Access::Write).await {
+        Ok(lose) => {
+            let answer = apply(&shared, &transaction);
+            if lose && let Some(connection) = request.conn_data::<Arc<Connection>>() {
+                // The answer is then written to a closed socket and dropped.
+                let _ = connection.0.shutdown(Shutdown::Both);
+            }
+            answer
+        }
+        Err(answer) => answer,
+    }
+}
+
+#[derive(Deserialize)]
+struct RowsQuery {
+    table: String,
+    #[serde(default)]
+    part: String,
+    #[serde(default)]
+    from: String,
+    to: Option<String>,
+    limit: Option<usize>,
+}
+
+async fn rows(
+    request: HttpRequest,
+    shared: web::Data<Shared>,
+    query: web::Query<RowsQuery>,
+) -> HttpResponse {
+    if let Err(answer) = admit(&request, &shared, "rows-get", Access::Read).await {
+        return answer;
+    }
+    let state = shared.lock();
+    let (rows, more) = state.rows(
+        &query.table,
+        &query.part,
+        &query.from,
+        query.to.as_deref(),
+        query.limit.unwrap_or(usize::MAX),
+    );
+    HttpResponse::Ok().json(json!({
+        "rows": rows, "hasMore": more, "ver": state.version(), "now": shared.now(),
+    }))
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct FeedQuery {
+    table: String,
+    after: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+async fn feed(
+    request: HttpRequest,
+    shared: web::Data<Shared>,
+    query: web::Query<FeedQuery>,
+) -> HttpResponse {
+    if let Err(answer) = admit(&request, &shared, "rows-feed", Access::Read).await {
+        return answer;
+    }
+    let wait = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
+    let until = tokio::time::Instant::now() + wait;
+    let mut changed = shared.changed.subscribe();
+    loop {
+        changed.mark_unchanged();
+        let (rows, ver) = {
+            let mut state = shared.lock();
+            match state.changes(&query.table, query.after, Instant::now()) {
+                None => return HttpResponse::Gone().finish(),
+                Some(rows) => (rows, state.version()),
+            }
+        };
+        let ended = tokio::time::Instant::now() >= until;
+        if !rows.is_empty() || ended {
+            return HttpResponse::Ok().json(json!({
+                "rows": rows, "ver": ver, "now": shared.now(),
+            }));
+        }
+        // Both ends of the wait lead to another look.
+        let _ = tokio::time::timeout_at(until, changed.changed()).await;
+    }
+}
+
+/// A transaction of the test, which no fault concerns. Values are JSON.
+#[derive(Deserialize)]
+struct Direct {
+    #[serde(default)]
+    puts: Vec<DirectPut>,
+    #[serde(default)]
+    remove: Vec<Place>,
+}
+
+#[derive(Deserialize)]
+struct DirectPut {
+    #[serde(flatten)]
+    place: Place,
+    json: Value,
+}
+
+async fn control_transact(shared: web::Data<Shared>, direct: web::Json<Direct>) -> HttpResponse {
+    use base64::{Engine, engine::general_purpose::STANDARD};
+
+    let direct = direct.into_inner();
+    let transaction = Transaction {
+        puts: direct
+            .puts
+            .into_iter()
+            .map(|put| crate::rows::state::Put {
+                place: put.place,
+                value: STANDARD.encode(put.json.to_string()),
+            })
+            .collect(),
+        remove: direct.remove,
+        ..Transaction::default()
+    };
+    apply(&shared, &transaction)
+}
+
+async fn control_fault(shared: web::Data<Shared>, fault: web::Json<Fault>) -> HttpResponse {
+    shared.lock().set_fault(fault.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
+async fn control_compact(shared: web::Data<Shared>) -> HttpResponse {
+    shared.lock().compact();
+    HttpResponse::NoContent().finish()
+}
+
+async fn control_calls(shared: web::Data<Shared>) -> HttpResponse {
+    HttpResponse::Ok().json(shared.lock().calls())
+}
--- /dev/null
+++ b/crates/standin/src/rows/state.rs
@@ -0,0 +1,299 @@
+//! The rows, their history, and what is wrong with the store.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::platform::limit::Limit;
+
+/// Writing calls a second that are served.
+const WRITES_PER_SECOND: usize = 400;
+
+/// Reading calls a second that are served.
+const READS_PER_SECOND: usize = 2000;
+
+/// How far back changes are known.
+const HISTORY: Duration = Duration::from_secs(20);
+
+/// Rows of one answer at most.
+const MAX_ROWS: usize = 500;
+
+/// Place of a row.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Place {
+    /// Table.
+    pub table: String,
+    /// Part of the table; may be empty.
+    #[serde(default)]
+    pub part: String,
+    /// Name within the part.
+    pub key: String,
+}
+
+/// A row as it is returned.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Row {
+    /// Where it is.
+    #[serde(flatten)]
+    pub place: Place,
+    /// Content in base64, unless it was dropped.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub value: Option<String>,
+    /// Version of its last change.
+    pub ver: u64,
+    /// Whether it was dropped.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub deleted: bool,
+}
+
+/// Condition of a transaction.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Expected {
+    #[serde(flatten)]
+    place: Place,
+    ver: u64,
+}
+
+/// Row written by a transaction.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Put {
+    /// Where.
+    #[serde(flatten)]
+    pub place: Place,
+    /// Content in base64.
+    pub value: String,
+}
+
+/// A transaction.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Transaction {
+    /// Rows and the versions that they must have.
+    pub expected: Vec<Expected>,
+    /// Rows to write.
+    pub puts: Vec<Put>,
+    /// Rows to drop.
+    pub remove: Vec<Place>,
+}
+
+/// How calls of some hosts are treated.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Mode {
+    /// They are served.
+    #[default]
+    Serve,
+    /// They get 503.
+    Busy,
+    /// They get 429.
+    Many,
+    /// They get no answer.
+    Silent,
+}
+
+/// What is wrong with the store, as set by a control call.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Fault {
+    /// How calls are treated.
+    pub mode: Mode,
+    /// Addresses of the hosts that it concerns; all if empty.
+    pub hosts: BTreeSet<IpAddr>,
+    /// Added to the time of each answer.
+    pub delay_ms: u64,
+    /// Writes that are done and not answered, from now on.
+    pub lost_writes: u32,
+}
+
+/// Whether a call reads or writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Access {
+    /// It reads.
+    Read,
+    /// It writes.
+    Write,
+}
+
+/// What happens to a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It is served after a delay, and its answer may be lost.
+    Serve {
+        /// Delay of the answer.
+        delay: Duration,
+        /// Whether the answer is lost.
+        lose: bool,
+    },
+    /// It is refused with this status.
+    Refuse(u16),
+    /// It gets no answer.
+    Silent,
+}
+
+struct Entry {
+    at: Instant,
+    row: Row,
+}
+
+/// The store.
+pub struct State {
+    rows: BTreeMap<Place, Row>,
+    history: VecDeque<Entry>,
+    /// Changes up to this version are forgotten.
+    forgotten: u64,
+    version: u64,
+    fault: Fault,
+    writes: Limit,
+    reads: Limit,
+    calls: BTreeMap<String, u64>,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        State {
+            rows: BTreeMap::new(),
+            history: VecDeque::new(),
+            forgotten: 0,
+            version: 1,
+            fault: Fault::default(),
+            writes: Limit::new(WRITES_PER_SECOND),
+            reads: Limit::new(READS_PER_SECOND),
+            calls: BTreeMap::new(),
+        }
+    }
+}
+
+impl State {
+    /// Newest version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Sets what is wrong.
+    pub fn set_fault(&mut self, fault: Fault) {
+        self.fault = fault;
+    }
+
+    /// Calls by name since the start.
+    pub fn calls(&self) -> &BTreeMap<String, u64> {
+        &self.calls
+    }
+
+    /// Decides what happens to a call.
+    pub fn admit(&mut self, call: &str, access: Access, from: IpAddr, now: Instant) -> Admission {
+        *self.calls.entry(call.to_owned()).or_default() += 1;
+        let concerned = self.fault.hosts.is_empty() || self.fault.hosts.contains(&from);
+        if concerned {
+            match self.fault.mode {
+                Mode::Serve => {}
+                Mode::Busy => return Admission::Refuse(503),
+                Mode::Many => return Admission::Refuse(429),
+                Mode::Silent => return Admission::Silent,
+            }
+        }
+        let limit = match access {
+            Access::Read => &mut self.reads,
+            Access::Write => &mut self.writes,
+        };
+        if !limit.admit(now) {
+            return Admission::Refuse(429);
+        }
+        let lose = access == Access::Write && concerned && self.fault.lost_writes > 0;
+        if lose {
+            self.fault.lost_writes -= 1;
+        }
+        Admission::Serve {
+            delay: Duration::from_millis(self.fault.delay_ms),
+            lose,
+        }
+    }
+
+    /// Runs a transaction. Returns the current rows of the conditions if one
+    /// of them does not hold.
+    pub fn transact(&mut self, transaction: &Transaction, now: Instant) -> Result<u64, Vec<Row>> {
+        let current = |place: &Place| self.rows.get(place).map_or(0, |row| row.ver);
+        let holds = transaction
+            .expected
+            .iter()
+            .all(|expected| current(&expected.place) == expected.ver);
+        if !holds {
+            return Err(transaction
+                .expected
+                .iter()
+                .filter_map(|expected| self.rows.get(&expected.place).cloned())
+                .collect());
+        }
+        self.version += 1;
+        for put in &transaction.puts {
+            self.change(now, &put.place, Some(put.value.clone()));
+        }
+        for place in &transaction.remove {
+            self.change(now, place, None);
+        }
+        Ok(self.version)
+    }
+
+    fn change(&mut self, now: Instant, place: &Place, value: Option<String>) {
+        let row = Row {
+            place: place.clone(),
+            deleted: value.is_none(),
+            value,
+            ver: self.version,
+        };
+        if row.deleted {
+            self.rows.remove(place);
+        } else {
+            self.rows.insert(place.clone(), row.clone());
+        }
+        self.history.push_back(Entry { at: now, row });
+    }
+
+    /// Rows of a part in order of their keys, and whether there are more.
+    pub fn rows(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: Option<&str>,
+        limit: usize,
+    ) -> (Vec<Row>, bool) {
+        let limit = limit.min(MAX_ROWS);
+        let mut found = self.rows.values().filter(|row| {
+            row.place.table == table
+                && row.place.part == part
+                && row.place.key.as_str() >= from
+                && to.is_none_or(|to| row.place.key.as_str() < to)
+        });
+        let rows: Vec<Row> = found.by_ref().take(limit).cloned().collect();
+        (rows, found.next().is_some())
+    }
+
+    /// Rows of a table that changed after a version, or `None` if that is
+    /// forgotten.
+    pub fn changes(&mut self, table: &str, after: u64, now: Instant) -> Option<Vec<Row>> {
+        while let Some(entry) = self.history.front()
+            && now.saturating_duration_since(entry.at) > HISTORY
+        {
+            self.forgotten = entry.row.ver;
+            self.history.pop_front();
+        }
+        if after < self.forgotten {
+            return None;
+        }
+        Some(
+            self.history
+                .iter()
+                .filter(|entry| entry.row.place.table == table && entry.row.ver > after)
+                .map(|entry| entry.row.clone())
+                .collect(),
+        )
+    }
+
+    /// Forgets all changes.
+    pub fn compact(&mut self) {
+        self.forgotten = self.version;
+        self.history.clear();
+    }
+}
