--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -21,69 +21,46 @@
     sum.map(|value| value / runs as f64)
 }
 
-fn loss(choice: &selection::Settings, spell: &spell::Settings) -> (f64, Vec<[f64; 3]>) {
-    let rates = [110.0, 180.0, 245.0];
-    let figures: Vec<_> = rates
-        .iter()
-        .map(|rate| {
-            let scenario = Scenario {
-                rate: *rate,
-                ..Scenario::default()
-            };
-            mean(&scenario, choice, spell)
-        })
-        .collect();
-    let loss = figures
-        .iter()
-        .map(|[unserved, late, _]| {
-            let nines = unserved.max(0.005).ln() / 0.005f64.ln();
-            0.65 * (unserved + 0.5 * late) + 0.35 * (1.0 - nines)
-        })
-        .sum::<f64>()
-        / rates.len() as f64;
-    (loss, figures)
-}
+/// Share of requests that may stay unserved on a day with trouble.
+const UNSERVED: f64 = 0.04;
+
+/// Second sends that the retry budget allows for each request.
+const REPEATS: f64 = 0.2;
 
+// Guards against orders that gather on a few servers or go to failing ones
+// while three servers in ten fail nearly every request for some seconds.
 #[test]
-#[ignore = "prints figures for the choice of constants"]
-fn sweep() {
-    use rand::{RngExt, SeedableRng};
-    let mut rng = rand::rngs::SmallRng::seed_from_u64(
-        std::env::var("SEED")
-            .ok()
-            .and_then(|s| s.parse().ok())
-            .unwrap_or(1),
-    );
-    let mut best = (selection::Settings::default(), spell::Settings::default());
-    let (mut least, figures) = loss(&best.0, &best.1);
-    println!("{least:.4} {figures:.4?}");
-    for _ in 0..100 {
-        let (mut choice, mut spell) = best.clone();
-        let mut vary = |value: &mut f64| {
-            if rng.random_bool(0.35) {
-                *value *= rng.random_range(0.5..1.8);
-            }
+fn failing_spells_cost_few_requests_at_any_load() {
+    for rate in [110.0, 180.0, 245.0] {
+        let scenario = Scenario {
+            rate,
+            ..Scenario::default()
         };
-        vary(&mut choice.margin);
-        vary(&mut choice.used);
-        vary(&mut choice.late);
-        vary(&mut choice.spread);
-        vary(&mut choice.overload);
-        vary(&mut choice.doubt);
-        let mut quick = 1.0 - spell.quick_failures;
-        vary(&mut quick);
-        spell.quick_failures = 1.0 - quick.min(0.5);
-        let mut fails = 1.0 - spell.failing_failures;
-        vary(&mut fails);
-        spell.failing_failures = 1.0 - fails.min(0.5);
-        let mut every = choice.test_every.as_secs_f64();
-        vary(&mut every);
-        choice.test_every = std::time::Duration::from_secs_f64(every);
-        let (found, figures) = loss(&choice, &spell);
-        if found < least {
-            least = found;
-            println!("{least:.4} {figures:.4?} {choice:?} {spell:?}");
-            best = (choice, spell);
-        }
+        let [unserved, late, repeats] = mean(
+            &scenario,
+            &selection::Settings::default(),
+            &spell::Settings::default(),
+        );
+        println!("rate {rate}: unserved {unserved:.4}, late {late:.4}, repeats {repeats:.4}");
+        assert!(unserved <= UNSERVED, "rate {rate}: unserved {unserved}");
+        assert!(repeats <= REPEATS, "rate {rate}: repeats {repeats}");
     }
 }
+
+// Guards against a choice that only works for one deployment's spells.
+#[test]
+fn sound_servers_lose_no_requests_to_caution() {
+    let scenario = Scenario {
+        sound: 1e9,
+        failing: 1e-9,
+        errors: 0.0,
+        ..Scenario::default()
+    };
+    let [unserved, late, _] = mean(
+        &scenario,
+        &selection::Settings::default(),
+        &spell::Settings::default(),
+    );
+    println!("unserved {unserved:.4}, late {late:.4}");
+    assert!(unserved <= 0.001, "unserved {unserved}");
+}
--- /dev/null
+++ b/crates/gateway/tests/replica.rs
@@ -0,0 +1,149 @@
+//! The copy of the catalog.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use dotterelhinge_gateway::{
+    catalog::{Configuration, State, Upstream, Upstreams, Versioned},
+    replica::Replica,
+    store::Change,
+};
+use googletest::prelude::*;
+
+const REREGISTRATION: Duration = Duration::from_secs(2);
+
+fn upstream(id: &str, state: State) -> Arc<Upstream> {
+    Arc::new(Upstream {
+        id: id.into(),
+        born: 1,
+        service: "desk".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        availability_zone: "north".into(),
+        slots: 3,
+        state,
+        cold_left: Duration::ZERO,
+    })
+}
+
+fn list(version: u64, ids: &[&str]) -> Versioned<Arc<Upstreams>> {
+    let upstreams = ids
+        .iter()
+        .map(|id| (Arc::from(*id), upstream(id, State::Ready)));
+    Versioned {
+        version,
+        value: Arc::new(upstreams.collect()),
+    }
+}
+
+fn usable(replica: &Replica, now: Instant) -> Vec<String> {
+    let mut ids: Vec<_> = replica
+        .usable(now, "desk")
+        .map(|upstream| upstream.id.to_string())
+        .collect();
+    ids.sort();
+    ids
+}
+
+fn configuration(version: u64) -> Arc<Configuration> {
+    Arc::new(Configuration {
+        version,
+        ..Configuration::default()
+    })
+}
+
+// Guards against a configuration that goes back after a late answer.
+#[gtest]
+fn the_configuration_never_goes_back() {
+    let mut replica = Replica::new(REREGISTRATION);
+    expect_true!(replica.configure(configuration(7)));
+    expect_false!(replica.configure(configuration(4)));
+    expect_false!(replica.configure(configuration(7)));
+    expect_that!(replica.configuration().unwrap().version, eq(7));
+}
+
+// Guards against work for servers that drain or are gone.
+#[gtest]
+fn draining_and_removed_servers_are_not_usable() {
+    let now = Instant::now();
+    let mut replica = Replica::new(REREGISTRATION);
+    replica.replace(now, list(5, &["a", "b", "c"]));
+    replica.prove_upstreams(now, 5);
+    let changes = vec![
+        Change::Put(upstream("a", State::Draining)),
+        Change::Remove("b".into()),
+    ];
+    let delta = replica.update(now, 9, changes);
+    expect_that!(
+        delta.map(|delta| (delta.base, delta.version)),
+        some(eq((5, 9)))
+    );
+    expect_that!(usable(&replica, now), elements_are![eq("c")]);
+}
+
+// Guards against an empty service right after an outage, while live servers
+// register again, and against trusting them for longer than that.
+#[gtest]
+fn servers_that_lapsed_in_an_outage_stay_usable_until_they_could_be_back() {
+    let start = Instant::now();
+    let mut replica = Replica::new(REREGISTRATION);
+    replica.replace(start, list(5, &["a", "b"]));
+    replica.prove_upstreams(start, 5);
+    let back = start + Duration::from_secs(6);
+    replica.update(back, 9, vec![Change::Remove("a".into())]);
+    replica.prove_upstreams(back, 9);
+    expect_that!(usable(&replica, back), elements_are![eq("a"), eq("b")]);
+    let late = back + REREGISTRATION;
+    expect_that!(usable(&replica, late), elements_are![eq("b")]);
+}
+
+// Guards against the same exception while the store was never away.
+#[gtest]
+fn a_removed_server_is_gone_at_once_without_an_outage() {
+    let start = Instant::now();
+    let mut replica = Replica::new(REREGISTRATION);
+    replica.replace(start, list(5, &["a", "b"]));
+    replica.prove_upstreams(start, 5);
+    let soon = start + Duration::from_millis(400);
+    replica.update(soon, 9, vec![Change::Remove("a".into())]);
+    expect_that!(usable(&replica, soon), elements_are![eq("b")]);
+}
+
+// Guards against a delta that is applied to another version than it was made
+// for.
+#[gtest]
+fn a_delta_applies_only_to_its_base() {
+    let now = Instant::now();
+    let mut reader = Replica::new(REREGISTRATION);
+    reader.replace(now, list(5, &["a"]));
+    let mut other = Replica::new(REREGISTRATION);
+    other.replace(now, list(4, &["a", "b"]));
+    let delta = reader
+        .update(now, 8, vec![Change::Put(upstream("c", State::Ready))])
+        .unwrap();
+    expect_false!(other.apply(now, &delta));
+    expect_true!(other.compare(now, &reader.standing(now)));
+    other.replace(now, list(5, &["a"]));
+    expect_true!(other.apply(now, &delta));
+    expect_false!(other.compare(now, &reader.standing(now)));
+}
+
+// Guards against a host that reads the store although a reader's news proves
+// that its copy is current, and against a proof for another copy.
+#[gtest]
+fn a_proof_holds_only_for_an_equal_copy() {
+    let now = Instant::now();
+    let mut reader = Replica::new(REREGISTRATION);
+    reader.replace(now, list(5, &["a"]));
+    reader.prove_upstreams(now, 5);
+    reader.prove_configuration(now, 5);
+    let mut equal = Replica::new(REREGISTRATION);
+    equal.replace(now, list(3, &["a"]));
+    expect_false!(equal.compare(now, &reader.standing(now)));
+    expect_that!(equal.age(now), some(eq(Duration::ZERO)));
+    let mut different = Replica::new(REREGISTRATION);
+    different.replace(now, list(3, &["a", "b"]));
+    expect_true!(different.compare(now, &reader.standing(now)));
+    expect_that!(different.upstreams_age(now), none());
+}
--- /dev/null
+++ b/crates/policy/tests/selection.rs
@@ -0,0 +1,111 @@
+//! The choice of a backend server.
+
+use std::time::{Duration, Instant};
+
+use dotterelhinge_policy::selection::{Candidate, Purpose, Request, Settings, choose};
+use googletest::prelude::*;
+use rand::{SeedableRng, rngs::SmallRng};
+
+fn sound() -> Candidate {
+    Candidate {
+        failing: 0.01,
+        in_use: 0.0,
+        slots: 3.0,
+        pace: 1.0,
+        near: true,
+        sent: None,
+    }
+}
+
+fn request(purpose: Purpose) -> Request {
+    Request {
+        usual: 0.4,
+        kilobytes: 0.3,
+        purpose,
+    }
+}
+
+fn chosen(candidates: &[Candidate], request: &Request) -> Vec<usize> {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let now = Instant::now();
+    (0..200)
+        .filter_map(|_| choose(&Settings::default(), now, candidates, request, &mut rng))
+        .collect()
+}
+
+// Guards against orders that go to a server that fails fast and so looks idle.
+#[gtest]
+fn an_order_avoids_a_failing_idle_server() {
+    let failing = Candidate {
+        failing: 0.8,
+        ..sound()
+    };
+    let busy = Candidate {
+        in_use: 3.0,
+        ..sound()
+    };
+    let picks = chosen(&[failing, busy], &request(Purpose::Serve));
+    expect_that!(picks, each(eq(&1)));
+}
+
+// Guards against servers in doubt that nobody tests, and against tests in a
+// burst.
+#[gtest]
+fn a_lookup_tests_a_server_in_doubt_but_not_twice_in_a_row() {
+    let now = Instant::now();
+    let doubtful = Candidate {
+        failing: 0.8,
+        sent: now.checked_sub(Duration::from_millis(400)),
+        ..sound()
+    };
+    let just_tested = Candidate {
+        sent: Some(now),
+        ..doubtful.clone()
+    };
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut test = |candidate: Candidate| {
+        let candidates = [sound(), candidate];
+        let request = request(Purpose::Learn);
+        choose(&Settings::default(), now, &candidates, &request, &mut rng)
+    };
+    expect_that!(test(doubtful), some(eq(1)));
+    expect_that!(test(just_tested), some(eq(0)));
+}
+
+// Guards against a queue at one server while others have free slots.
+#[gtest]
+fn a_full_server_gets_less_than_a_free_one() {
+    let full = Candidate {
+        in_use: 9.0,
+        ..sound()
+    };
+    let picks = chosen(&[full, sound()], &request(Purpose::Serve));
+    expect_that!(picks, each(eq(&1)));
+}
+
+// Guards against large bodies that cross zones without need.
+#[gtest]
+fn a_large_request_stays_in_its_zone() {
+    let remote = Candidate {
+        near: false,
+        ..sound()
+    };
+    let large = Request {
+        kilobytes: 60.0,
+        ..request(Purpose::Serve)
+    };
+    let picks = chosen(&[remote, sound()], &large);
+    expect_that!(picks, each(eq(&1)));
+}
+
+// Guards against a request without an answer when every server is bad.
+#[gtest]
+fn a_bad_server_is_better_than_none() {
+    let bad = Candidate {
+        failing: 0.99,
+        in_use: 30.0,
+        ..sound()
+    };
+    expect_that!(chosen(&[bad], &request(Purpose::Serve)).len(), eq(200));
+    expect_true!(chosen(&[], &request(Purpose::Serve)).is_empty());
+}
