Log each attempt with what decided it, and each change of belief

Cause: a failed order could not be explained from its id: the log named neither the backend server nor the evidence on which it was chosen.

Change: one line for each attempt (id, server, belief, load, age of the list, version of the configuration, time left, ending), one for each failed request and one when a server is doubted or trusted. Each kind has a bound a second; the next line tells how many were left out. The older daemon uses the same logging and so writes to standard output. Every fleet of a test gets a loopback network of its own: every_host_serves_every_kind_of_request had failed once, since two fleets that ran at the same time had been given the same free port (127.0.0.10:41921, address in use, traced from the daemon's error).

The log leads from the id to the cause for a failed, a refused and a broken order; 600 requests are answered while nobody reads the log.

--- a/crates/dotterelhinge/src/lib.rs
+++ b/crates/dotterelhinge/src/lib.rs
@@ -36,7 +36,7 @@
 mod idempotency;
 mod ledger;
 mod link;
-pub mod logging;
+pub use dotterelhinge_gateway::logging;
 mod members;
 mod membership;
 mod metrics;
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -43,6 +43,21 @@
     pub elapsed_ms: u32,
 }
 
+/// Probability of failing from which the log says that a backend server is
+/// doubted.
+const DOUBTED: f64 = 0.5;
+
+/// A change of what is believed about a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shift {
+    /// Identity of the backend server.
+    pub upstream: Arc<str>,
+    /// Probability that it is failing now.
+    pub failing: f64,
+    /// Whether it is doubted now.
+    pub doubted: bool,
+}
+
 /// Weight of the newest answer in the pace of a backend server.
 const PACE_WEIGHT: f64 = 0.4;
 
@@ -80,6 +95,9 @@
 
 #[derive(Debug)]
 struct Known {
+    id: Arc<str>,
+    service: Arc<str>,
+    doubted: bool,
     belief: spell::Belief,
     local: u32,
     remote: u32,
@@ -98,7 +116,6 @@
     known: HashMap<u64, Known>,
     /// Usual seconds for an answer, by service.
     usual: HashMap<Arc<str>, f64>,
-    services: HashMap<u64, Arc<str>>,
 }
 
 impl Evidence {
@@ -108,17 +125,18 @@
             settings,
             known: HashMap::new(),
             usual: HashMap::new(),
-            services: HashMap::new(),
         }
     }
 
     /// Follows the list: adds new backend servers and drops all others.
     pub fn follow<'a>(&mut self, now: Instant, upstreams: impl Iterator<Item = &'a Arc<Upstream>>) {
         let mut kept = HashMap::new();
-        self.services.clear();
         for upstream in upstreams {
             let key = upstream.key();
             let known = self.known.remove(&key).unwrap_or_else(|| Known {
+                id: Arc::clone(&upstream.id),
+                service: Arc::clone(&upstream.service),
+                doubted: false,
                 belief: spell::Belief::new(&self.settings, now),
                 local: 0,
                 remote: 0,
@@ -130,7 +148,6 @@
                 cold_until: now + upstream.cold_left,
             });
             kept.insert(key, known);
-            self.services.insert(key, Arc::clone(&upstream.service));
         }
         self.known = kept;
     }
@@ -227,11 +244,10 @@
             .collect()
     }
 
-    /// Takes an outcome of any host into account.
-    pub fn observe(&mut self, now: Instant, seen: &Seen) {
-        let Some(known) = self.known.get_mut(&seen.upstream) else {
-            return;
-        };
+    /// Takes an outcome of any host into account. Returns what changes, if the
+    /// backend server is doubted or trusted from now on.
+    pub fn observe(&mut self, now: Instant, seen: &Seen) -> Option<Shift> {
+        let known = self.known.get_mut(&seen.upstream)?;
         match seen.outcome {
             Outcome::Outlived => {
                 known
@@ -246,12 +262,11 @@
                 }
                 known.full_until = None;
                 known.unreachable = None;
-                if let Some(service) = self.services.get(&seen.upstream) {
-                    let elapsed = f64::from(seen.elapsed_ms.max(1)) / 1000.0;
-                    let usual = self.usual.entry(Arc::clone(service)).or_insert(elapsed);
-                    known.note_pace(now, elapsed / *usual);
-                    *usual += (elapsed.min(*usual * OVERDUE) - *usual) * USUAL_WEIGHT;
-                }
+                let elapsed = f64::from(seen.elapsed_ms.max(1)) / 1000.0;
+                let service = Arc::clone(&known.service);
+                let usual = self.usual.entry(service).or_insert(elapsed);
+                known.note_pace(now, elapsed / *usual);
+                *usual += (elapsed.min(*usual * OVERDUE) - *usual) * USUAL_WEIGHT;
             }
             Outcome::Failed | Outcome::Silent => {
                 known
@@ -269,6 +284,16 @@
                 known.paced = now;
             }
         }
+        let failing = known.belief.failing(&self.settings, now);
+        let doubted = failing >= DOUBTED;
+        if std::mem::replace(&mut known.doubted, doubted) == doubted {
+            return None;
+        }
+        Some(Shift {
+            upstream: Arc::clone(&known.id),
+            failing,
+            doubted,
+        })
     }
 
     /// Notes that this host could not connect.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -220,7 +220,8 @@
             member.in_use.clone_from(in_use);
         }
         for seen in &report.outcomes {
-            evidence.observe(now, seen);
+            let shift = evidence.observe(now, seen);
+            self.host.log_shift(now, shift, seen, &member.name);
         }
         true
     }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -15,13 +15,34 @@
 use crate::{
     catalog::Route,
     control,
-    evidence::{Evidence, Outcome, Seen},
-    metrics,
+    evidence::{Evidence, Outcome, Seen, Shift},
+    logging, metrics,
     peer::members::Members,
     replica::{Delta, Replica},
     settings::{Settings, Terms},
 };
 
+/// Lines a second about attempts that ended well.
+const GOOD_LINES: u32 = 20;
+
+/// Lines a second about attempts that did not, and about requests that failed.
+const FAILURE_LINES: u32 = 100;
+
+/// Lines a second about what the host believes of backend servers.
+const BELIEF_LINES: u32 = 20;
+
+/// Bounds of the log by kind of event. Failures have a bound of their own, so
+/// that successes never displace them.
+#[derive(Debug)]
+pub(crate) struct Caps {
+    /// Attempts that ended well.
+    pub good: logging::Cap,
+    /// Attempts that did not, and requests that failed.
+    pub failure: logging::Cap,
+    /// Changes of belief.
+    pub belief: logging::Cap,
+}
+
 /// What waits to be told to other hosts.
 #[derive(Debug, Default)]
 pub(crate) struct Outbox {
@@ -57,6 +78,8 @@
     pub rng: RefCell<SmallRng>,
     /// What the control server shows.
     pub shared: Arc<control::Shared>,
+    /// Bounds of the log.
+    pub caps: Caps,
     /// Counters and histograms.
     pub metrics: Arc<metrics::Registry>,
     /// Whether a planned stop has begun.
@@ -86,6 +109,11 @@
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
             shared: Arc::new(control::Shared::new(Arc::clone(&metrics))),
             metrics,
+            caps: Caps {
+                good: logging::Cap::new(GOOD_LINES),
+                failure: logging::Cap::new(FAILURE_LINES),
+                belief: logging::Cap::new(BELIEF_LINES),
+            },
             stopping: Cell::new(false),
             stopping_since: Cell::new(None),
             serving: Cell::new(0),
@@ -112,7 +140,9 @@
 
     /// Takes an outcome of this host into account and tells it to the others.
     pub(crate) fn observe(&self, seen: Seen) {
-        self.evidence.borrow_mut().observe(self.now(), &seen);
+        let now = self.now();
+        let shift = self.evidence.borrow_mut().observe(now, &seen);
+        self.log_shift(now, shift, &seen, &self.settings.host);
         let urgent = !matches!(
             seen.outcome,
             Outcome::Good | Outcome::Finished | Outcome::Outlived
@@ -123,6 +153,22 @@
         }
     }
 
+    /// Logs a change of belief that an outcome told by the host `from` caused.
+    pub(crate) fn log_shift(&self, now: Instant, shift: Option<Shift>, seen: &Seen, from: &str) {
+        let Some(shift) = shift else {
+            return;
+        };
+        if let Some(left_out) = self.caps.belief.admit(now) {
+            let event = if shift.doubted {
+                "upstream_doubted"
+            } else {
+                "upstream_trusted"
+            };
+            log::info!(event = event, upstream = &*shift.upstream, failing = rounded(shift.failing), outcome = format!("{:?}", seen.outcome),
+                elapsed_ms = seen.elapsed_ms, told_by = from, left_out = left_out; "belief about a backend server changed");
+        }
+    }
+
     /// Brings everything that depends on the catalog up to date.
     pub(crate) fn catalog_changed(&self) {
         let now = self.now();
@@ -174,3 +220,8 @@
         self.allowances.borrow_mut().get_mut(service).map(with)
     }
 }
+
+/// A probability with three digits, for the log.
+pub(crate) fn rounded(value: f64) -> f64 {
+    (value * 1000.0).round() / 1000.0
+}
--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -6,6 +6,7 @@
 //! reading costs lines, which are counted, and never delays a request.
 
 use std::{
+    cell::Cell,
     io::{self, Write},
     sync::{
         Arc,
@@ -13,11 +14,52 @@
         mpsc,
     },
     thread,
+    time::{Duration, Instant},
 };
 
 use log::kv;
 use serde_json::{Map, Value};
 
+/// Bounds the lines about one kind of event. Lines over the bound are counted,
+/// and the next line that is written tells how many there were.
+#[derive(Debug)]
+pub struct Cap {
+    per_second: u32,
+    window: Cell<Option<Instant>>,
+    written: Cell<u32>,
+    left_out: Cell<u32>,
+}
+
+impl Cap {
+    /// A bound of `per_second` lines.
+    pub fn new(per_second: u32) -> Self {
+        Self {
+            per_second,
+            window: Cell::new(None),
+            written: Cell::new(0),
+            left_out: Cell::new(0),
+        }
+    }
+
+    /// Whether a line may be written now, and how many were left out before.
+    pub fn admit(&self, now: Instant) -> Option<u32> {
+        let fresh = self
+            .window
+            .get()
+            .is_none_or(|start| now.saturating_duration_since(start) >= Duration::from_secs(1));
+        if fresh {
+            self.window.set(Some(now));
+            self.written.set(0);
+        }
+        if self.written.get() >= self.per_second {
+            self.left_out.set(self.left_out.get() + 1);
+            return None;
+        }
+        self.written.set(self.written.get() + 1);
+        Some(self.left_out.take())
+    }
+}
+
 /// Lines that wait to be written at most.
 const QUEUE: usize = 1024;
 
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -56,6 +56,17 @@
     Unknown(Reason),
 }
 
+impl Ending {
+    /// Name in the log.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Failed(_) => "upstream-failed",
+            Self::NotRun { reason, .. } | Self::Unknown(reason) => reason.name(),
+        }
+    }
+}
+
 /// What an attempt needs to know of its request.
 pub(super) struct Order<'a> {
     /// Head of the request.
--- a/crates/gateway/src/proxy/request.rs
+++ b/crates/gateway/src/proxy/request.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     catalog::{Configuration, Route, Upstream},
-    host::Host,
+    host::{Host, rounded},
 };
 
 /// Time that a request may take if its caller names none and its route allows
@@ -67,6 +67,14 @@
     }
 }
 
+/// The backend server of one attempt, and what it was chosen on.
+struct Choice {
+    upstream: Arc<Upstream>,
+    candidate: selection::Candidate,
+    purpose: selection::Purpose,
+    candidates: usize,
+}
+
 /// What the decisions about one request need.
 struct Exchange<'a> {
     host: &'a Host,
@@ -108,7 +116,10 @@
 
 fn log_refusal(host: &Host, id: &str, head: &request::Parts, reason: Reason) {
     host.metrics.refused.add();
-    log::info!(event = "refused", request_id = id, path = head.uri.path(), reason = reason.name(); "request refused");
+    let Some(left_out) = host.caps.failure.admit(host.now()) else {
+        return;
+    };
+    log::info!(event = "refused", left_out = left_out, request_id = id, path = head.uri.path(), reason = reason.name(); "request refused");
 }
 
 /// Finds the route of a request and takes its body in.
@@ -188,10 +199,10 @@
             };
             let class = format!("{}/{kind}", self.service);
             self.host.metrics.answered(&Arc::from(class), taken);
-        } else {
+        } else if let Some(left_out) = self.host.caps.failure.admit(self.host.now()) {
             log::info!(event = "request_failed", request_id = self.id, route = &*self.route.name, service = &*self.service,
                 configuration = self.version, sends = self.sends, status = status, result = result,
-                taken_ms = taken.as_millis() as u64; "request failed");
+                taken_ms = taken.as_millis() as u64, left_out = left_out; "request failed");
         }
         response
     }
@@ -212,12 +223,13 @@
                     break;
                 }
             }
-            let Some((upstream, failing)) = self.choose(now, body.kilobytes()) else {
+            let Some(choice) = self.choose(now, body.kilobytes()) else {
                 break;
             };
-            self.tried.push(upstream.key());
+            self.tried.push(choice.upstream.key());
             let whole = body.is_whole();
-            let ending = self.attempt(&upstream, failing, body).await;
+            let ending = self.attempt(&choice, body).await;
+            self.log_attempt(now, &choice, &ending);
             let arrived = !matches!(ending, Ending::NotRun { arrived: false, .. });
             if arrived {
                 self.sends += 1;
@@ -256,16 +268,36 @@
         })
     }
 
-    async fn attempt(&self, upstream: &Arc<Upstream>, failing: f64, body: &mut Content) -> Ending {
+    /// Logs what an attempt was decided on and how it ended.
+    fn log_attempt(&self, chosen_at: Instant, choice: &Choice, ending: &Ending) {
+        let now = self.host.now();
+        let caps = &self.host.caps;
+        let cap = match ending {
+            Ending::Answered(_) => &caps.good,
+            _ => &caps.failure,
+        };
+        let Some(left_out) = cap.admit(now) else {
+            return;
+        };
+        let candidate = &choice.candidate;
+        let list_age = self.host.replica.borrow().upstreams_age(chosen_at);
+        log::info!(event = "attempt", request_id = self.id, number = self.tried.len(), upstream = &*choice.upstream.id, address = choice.upstream.address.to_string(),
+            failing = rounded(candidate.failing), in_use = candidate.in_use, pace = rounded(candidate.pace), near = candidate.near,
+            purpose = format!("{:?}", choice.purpose), candidates = choice.candidates, list_age_ms = list_age.map(|age| age.as_millis() as u64),
+            configuration = self.version, left_ms = self.deadline.saturating_duration_since(now).as_millis() as u64,
+            ending = ending.name(), taken_ms = now.saturating_duration_since(chosen_at).as_millis() as u64, left_out = left_out; "attempt ended");
+    }
+
+    async fn attempt(&self, choice: &Choice, body: &mut Content) -> Ending {
         let another = || self.affords() && self.sends + 1 < self.route.attempts;
         let order = attempt::Order {
             head: self.head,
             id: self.id,
             deadline: self.deadline,
-            patience: self.patience(failing),
+            patience: self.patience(choice.candidate.failing),
             another: &another,
         };
-        attempt::run(self.host, upstream, &order, body).await
+        attempt::run(self.host, &choice.upstream, &order, body).await
     }
 
     /// How long to wait for a backend server before another one is tried. Only
@@ -291,9 +323,8 @@
             .unwrap_or(false)
     }
 
-    /// The backend server for the next attempt and the probability that it
-    /// fails the request.
-    fn choose(&self, now: Instant, kilobytes: f64) -> Option<(Arc<Upstream>, f64)> {
+    /// The backend server for the next attempt.
+    fn choose(&self, now: Instant, kilobytes: f64) -> Option<Choice> {
         let replica = self.host.replica.borrow();
         let evidence = self.host.evidence.borrow();
         let untried = replica
@@ -329,9 +360,11 @@
             &request,
             &mut *self.host.rng.borrow_mut(),
         )?;
-        Some((
-            Arc::clone(upstreams[position]),
-            candidates[position].failing,
-        ))
+        Some(Choice {
+            upstream: Arc::clone(upstreams[position]),
+            candidate: candidates[position].clone(),
+            purpose: request.purpose,
+            candidates: candidates.len(),
+        })
     }
 }
--- a/crates/gateway/tests/model/mod.rs
+++ b/crates/gateway/tests/model/mod.rs
@@ -18,7 +18,7 @@
 
 /// Load and faults of a run.
 #[derive(Clone, Debug)]
-pub struct Scenario {
+pub(crate) struct Scenario {
     pub servers: usize,
     pub hosts: usize,
     /// Requests a second.
@@ -63,7 +63,7 @@
 
 /// Shares of the requests.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Result {
+pub(crate) struct Result {
     pub requests: u32,
     pub in_time: u32,
     pub late: u32,
@@ -73,11 +73,11 @@
 }
 
 impl Result {
-    pub fn unserved(&self) -> f64 {
+    pub(crate) fn unserved(&self) -> f64 {
         f64::from(self.failed + self.shed) / f64::from(self.requests)
     }
 
-    pub fn late(&self) -> f64 {
+    pub(crate) fn late(&self) -> f64 {
         f64::from(self.late) / f64::from(self.requests)
     }
 }
@@ -137,7 +137,7 @@
     }
 }
 
-pub struct Model {
+pub(crate) struct Model {
     scenario: Scenario,
     choice: selection::Settings,
     rng: SmallRng,
@@ -155,7 +155,11 @@
 }
 
 impl Model {
-    pub fn new(scenario: Scenario, choice: selection::Settings, spell: spell::Settings) -> Self {
+    pub(crate) fn new(
+        scenario: Scenario,
+        choice: selection::Settings,
+        spell: spell::Settings,
+    ) -> Self {
         let mut rng = SmallRng::seed_from_u64(scenario.seed);
         let base = Instant::now();
         let upstreams: Vec<_> = (0..scenario.servers)
@@ -209,7 +213,7 @@
         }
     }
 
-    pub fn run(mut self) -> Result {
+    pub(crate) fn run(mut self) -> Result {
         self.at(0.0, Event::Arrive);
         while let Some(Reverse((Key(time, _), index))) = self.events.pop() {
             self.now = time;
@@ -398,14 +402,14 @@
         match told {
             Told::Begin(server) => self.evidence.begin(now, self.upstreams[*server].key()),
             Told::End(server) => self.evidence.end(self.upstreams[*server].key()),
-            Told::Seen(server, outcome, elapsed) => self.evidence.observe(
-                now,
-                &Seen {
+            Told::Seen(server, outcome, elapsed) => {
+                let seen = Seen {
                     upstream: self.upstreams[*server].key(),
                     outcome: *outcome,
                     elapsed_ms: (elapsed * 1000.0) as u32,
-                },
-            ),
+                };
+                self.evidence.observe(now, &seen);
+            }
         }
     }
 
--- a/crates/standin/src/gateway.rs
+++ b/crates/standin/src/gateway.rs
@@ -12,8 +12,12 @@
 use crate::client;
 use crate::process::{Process, Ready, free_addresses};
 
-/// First loopback address of a daemon; daemon `i` has the address `i` after it.
-const FIRST_HOST: u8 = 10;
+/// Last part of the loopback address of the first daemon; daemon `i` has the
+/// address `i` after it.
+const FIRST_HOST: usize = 10;
+
+/// Values of the two parts of a loopback address that number a fleet's network.
+const NETWORKS: u32 = 250;
 
 /// A part of the fleet did not start or did not answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -130,9 +134,13 @@
         Ok(fleet)
     }
 
-    /// Loopback address of a daemon.
+    /// Loopback address of a daemon. Every fleet has a network of its own,
+    /// numbered by the process of its store: the ports of two fleets that run
+    /// at the same time may be equal.
     pub fn ip(&self, host: usize) -> String {
-        format!("127.0.0.{}", usize::from(FIRST_HOST) + host)
+        let network = self.store.id() % (NETWORKS * NETWORKS);
+        let (high, low) = (1 + network / NETWORKS, network % NETWORKS);
+        format!("127.{high}.{low}.{}", FIRST_HOST + host)
     }
 
     /// Address for callers of a daemon.
--- a/crates/standin/tests/gateway.rs
+++ b/crates/standin/tests/gateway.rs
@@ -170,7 +170,7 @@
     fleet.store_fault(&json!({"mode": "busy"})).unwrap();
     let front = fleet.front(0);
     let up = Ready::Http {
-        address: format!("{}", fleet.ready_address(0)),
+        address: fleet.ready_address(0),
         path: "/metrics".to_owned(),
     };
     fleet.start_host_until(0, &up).unwrap();
@@ -315,3 +315,87 @@
     }
     expect_that!(begun(&fleet, 0), eq(before));
 }
+
+/// Log lines of all hosts about one request, by event.
+fn lines(fleet: &Fleet, id: &str, event: &str) -> Vec<serde_json::Value> {
+    let mut found = Vec::new();
+    for host in 0..fleet.hosts.len() {
+        let output = fleet.host(host).unwrap().output();
+        for line in output.lines() {
+            let line: serde_json::Value = serde_json::from_str(line).unwrap_or_default();
+            if line["request_id"] == id && line["event"] == event {
+                found.push(line);
+            }
+        }
+    }
+    found
+}
+
+/// Sends orders until one ends with `status`.
+fn failed_order(fleet: &mut Fleet, status: u16) -> String {
+    for round in 0..40 {
+        let answer = fleet.ask(round % 3, "POST", "/order/1", b"order");
+        if answer.status == Some(status) {
+            return answer.id;
+        }
+    }
+    panic!("no order ended with {status}");
+}
+
+// Guards against a failed request whose cause the logs do not tell: the steps
+// are those of docs/OPERATIONS.md.
+#[gtest]
+fn the_log_leads_from_an_id_to_the_cause() {
+    let all = [0, 1, 2, 3];
+    for (fault, status, ending) in [
+        (json!({"kind": "fail"}), 500, "upstream-failed"),
+        (json!({"kind": "shed"}), 503, "upstream-shed"),
+        (json!({"kind": "cut"}), 502, "broken-answer"),
+    ] {
+        let mut fleet = start(Settings::default());
+        fleet.fault(&all, &fault).unwrap();
+        let id = failed_order(&mut fleet, status);
+        let told = eventually(Duration::from_secs(2), || {
+            !lines(&fleet, &id, "request_failed").is_empty()
+        });
+        expect_true!(told, "{ending}");
+        let failed = lines(&fleet, &id, "request_failed");
+        expect_that!(failed[0]["result"].as_str(), some(eq(ending)));
+        let attempts = lines(&fleet, &id, "attempt");
+        expect_that!(attempts, not(is_empty()), "{ending}");
+        for attempt in &attempts {
+            expect_that!(attempt["ending"].as_str(), some(eq(ending)));
+            expect_that!(attempt["upstream"].as_str(), some(starts_with("backend-")));
+            expect_that!(attempt["configuration"].as_u64(), some(eq(3)));
+            expect_that!(attempt["failing"].as_f64(), some(anything()));
+            expect_that!(attempt["list_age_ms"].as_u64(), some(lt(2000)));
+        }
+    }
+}
+
+// Guards against a reader of the log that stops reading and so stops requests.
+#[gtest]
+fn a_stalled_log_reader_stops_no_request() {
+    use std::process::{Command, Stdio};
+
+    let mut fleet = start(Settings::default());
+    fleet.hosts[0].take().unwrap().kill();
+    let program = dotterelhinge_standin::process::program_path("dotterelhinge-gateway").unwrap();
+    // Nobody reads the pipe, which holds 64 KiB.
+    let mut stalled = Command::new(program)
+        .arg("--settings")
+        .arg(fleet.settings_file(0))
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let ready = eventually(Duration::from_secs(10), || fleet.is_ready(0));
+    let mut served = 0;
+    for _ in 0..600 {
+        let answer = fleet.ask(0, "GET", "/nowhere/1", b"");
+        served += usize::from(answer.status == Some(404));
+    }
+    stalled.kill().unwrap();
+    stalled.wait().unwrap();
+    expect_true!(ready);
+    expect_that!(served, eq(600));
+}
