--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -16,7 +16,7 @@
 use crate::{
     catalog::Catalog,
     metrics,
-    peer::client::{COPY_PATH, Copy},
+    peer::client::{COPY_PATH, Snapshot},
     replica::Standing,
     store,
 };
@@ -87,14 +87,14 @@
         }
     }
 
-    fn copy(&self) -> Option<Copy> {
+    fn copy(&self) -> Option<Snapshot> {
         let shown = self
             .shown
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .clone()?;
         let since = shown.at.elapsed().as_millis() as u32;
-        Some(Copy {
+        Some(Snapshot {
             catalog: shown.catalog,
             standing: Standing {
                 age_ms: shown.standing.age_ms.map(|age| age.saturating_add(since)),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,18 +4,18 @@
 An adapter implements [`store::Store`] for one platform and runs the daemon:
 
 ```no_run
-# use std::rc::Rc;
-# use dotterelhinge_gateway::store::Store;
-# async fn example(source: Rc<dyn settings::Source>, store: Rc<dyn Store>) {
-use dotterelhinge_gateway::{daemon, settings};
-
-let settings = settings::Settings {
-    host: "entry-1".into(),
-    listen: "10.0.0.1:8000".parse().unwrap(),
-    ..settings::Settings::default()
-};
-daemon::run(settings, source, store).await.unwrap();
-# }
+use std::rc::Rc;
+
+use dotterelhinge_gateway::{daemon, settings, store};
+
+async fn run(source: Rc<dyn settings::Source>, store: Rc<dyn store::Store>) {
+    let settings = settings::Settings {
+        host: "entry-1".into(),
+        listen: "10.0.0.1:8000".parse().unwrap(),
+        ..settings::Settings::default()
+    };
+    daemon::run(settings, source, store).await.unwrap();
+}
 ```
 
 # Guarantees
--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -97,6 +97,8 @@
 
 /// Starts logging for a process from `level` on.
 pub fn init(level: log::LevelFilter, host: &str) {
+    // Errors are logged as text in JSON, where escape sequences only disturb.
+    error_stack::Report::set_color_mode(error_stack::fmt::ColorMode::None);
     let (lines, queue) = mpsc::sync_channel::<Vec<u8>>(QUEUE);
     let dropped = Arc::new(AtomicU64::new(0));
     let counted = Arc::clone(&dropped);
--- a/crates/gateway/src/peer/client.rs
+++ b/crates/gateway/src/peer/client.rs
@@ -7,7 +7,7 @@
 
 use crate::{catalog::Catalog, replica::Standing, store};
 
-/// Path of [`Copy`] on the peer port.
+/// Path of [`Snapshot`] on the peer port.
 pub const COPY_PATH: &str = "/peer/v2/copy";
 
 /// Longest time for a call. A host that takes longer is overloaded or cut off,
@@ -30,7 +30,7 @@
 
 /// All that a daemon knows of the catalog and of the other hosts.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Copy {
+pub struct Snapshot {
     /// The catalog.
     pub catalog: Catalog,
     /// How current it is.
@@ -44,7 +44,7 @@
     client: &awc::Client,
     address: Ipv4Addr,
     port: u16,
-) -> Result<Copy, Report<Error>> {
+) -> Result<Snapshot, Report<Error>> {
     let call = async {
         let mut response = client
             .get(format!("http://{address}:{port}{COPY_PATH}"))
