Choose servers from a random sample

Hosts compare all servers, so what arrives before its load is known goes to the few with the lowest cost; these shed, the retries take the tokens that tests of suspected servers need, and servers without fresh evidence stay out.

Change: a request compares 16 random servers of its own zone and 16 of the others. Waiting costs more the more the service sheds.

--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -297,6 +297,13 @@
         service.map_or(INITIAL_FAILURE_RATIO, |service| service.failure_ratio)
     }
 
+    /// Returns the recent share of attempts at `service` that were shed, from 0
+    /// to 1.
+    pub fn shed_ratio(&self, service: &str) -> f64 {
+        let service = self.services.get(service);
+        service.map_or(0.0, |service| service.shed_ratio)
+    }
+
     /// Returns whether requests should go to other backend servers: this one has
     /// ended, or this host recently failed to connect to it.
     pub fn is_avoided(&self, now: Instant, upstream: u64) -> bool {
--- a/crates/gateway/src/proxy/request.rs
+++ b/crates/gateway/src/proxy/request.rs
@@ -404,6 +404,7 @@
         let request = selection::Request {
             relative_latency: typical.as_secs_f64() / self.route.objective.as_secs_f64().max(0.001),
             kilobytes,
+            shed_ratio: evidence.shed_ratio(&self.service),
             purpose,
         };
         let position = selection::choose(
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -2,7 +2,7 @@
 
 mod model;
 
-use dotterelhinge_policy::{outage, selection};
+use dotterelhinge_policy::{outage, quota, selection};
 use model::{Model, Scenario};
 
 /// Returns the means over five seeds of the share of unserved requests, the
@@ -101,3 +101,48 @@
     println!("unserved {unserved:.4}, late {late:.4}");
     assert!(unserved <= 0.001, "unserved {unserved}");
 }
+
+/// The largest service of a fleet of 443 hosts under its usual load and faults.
+fn large_service() -> Scenario {
+    Scenario {
+        servers: 980,
+        hosts: 443,
+        zones: 6,
+        max_queued: 6,
+        max_wait: 0.3,
+        budget: quota::Settings {
+            slack: 630.0,
+            ..quota::Settings::default()
+        },
+        rate: 2300.0,
+        repeatable: 0.22,
+        mean_work: 0.42,
+        objective: 1.5,
+        report_delay: 0.04,
+        latency_ratios: (0.8, 1.25),
+        full_slowdown: 1.3,
+        seconds: 8.0,
+        ..Scenario::default()
+    }
+}
+
+// Guards against load that is heaped on a few servers of the own zone while
+// others are idle: these shed what the others could have run.
+#[test]
+fn a_large_service_spreads_its_load() {
+    for rate in [2300.0, 3200.0] {
+        let scenario = Scenario {
+            rate,
+            ..large_service()
+        };
+        let [unserved, late, repeats] = mean_shares(
+            &scenario,
+            &selection::Settings::default(),
+            &outage::Settings::default(),
+        );
+        println!("rate {rate}: unserved {unserved:.4}, late {late:.4}, repeats {repeats:.4}");
+        assert!(unserved <= MAX_UNSERVED, "rate {rate}: unserved {unserved}");
+        assert!(late <= 0.01, "rate {rate}: late {late}");
+        assert!(repeats <= MAX_REPEATS, "rate {rate}: repeats {repeats}");
+    }
+}
--- a/crates/gateway/tests/model/mod.rs
+++ b/crates/gateway/tests/model/mod.rs
@@ -21,6 +21,15 @@
 pub(crate) struct Scenario {
     pub servers: usize,
     pub hosts: usize,
+    /// Availability zones, to which servers and hosts belong in turn.
+    pub zones: usize,
+    /// Maximum number of requests that wait for a slot of a server; further
+    /// ones are shed.
+    pub max_queued: usize,
+    /// Maximum time that a request waits for a slot before it is shed.
+    pub max_wait: f64,
+    /// Retry budget of all hosts together.
+    pub budget: quota::Settings,
     /// Requests per second.
     pub rate: f64,
     /// Share of the requests that are repeatable.
@@ -54,6 +63,10 @@
         Self {
             servers: 33,
             hosts: 48,
+            zones: 1,
+            max_queued: 12,
+            max_wait: f64::INFINITY,
+            budget: quota::Settings::default(),
             rate: 225.0,
             repeatable: 0.2,
             mean_work: 0.225,
@@ -97,9 +110,6 @@
 /// Slots of each server.
 const SLOTS: usize = 3;
 
-/// Maximum number of requests that wait for a slot; further ones are shed.
-const MAX_QUEUED: usize = 12;
-
 #[derive(Debug)]
 struct Server {
     busy: usize,
@@ -112,6 +122,7 @@
 #[derive(Debug)]
 struct Job {
     arrived: f64,
+    host: usize,
     repeatable: bool,
     tried: Vec<usize>,
     server: usize,
@@ -167,8 +178,8 @@
     upstreams: Vec<Arc<Upstream>>,
     keys: Vec<u64>,
     evidence: Evidence,
-    budget: quota::Settings,
-    tokens: f64,
+    zones: Vec<Arc<str>>,
+    quotas: Vec<quota::Quota>,
     jobs: Vec<Job>,
     result: Result,
 }
@@ -181,6 +192,9 @@
     ) -> Self {
         let mut rng = SmallRng::seed_from_u64(scenario.seed);
         let base = Instant::now();
+        let zones: Vec<Arc<str>> = (0..scenario.zones)
+            .map(|zone| format!("zone-{zone}").into())
+            .collect();
         let upstreams: Vec<_> = (0..scenario.servers)
             .map(|i| {
                 Arc::new(Upstream {
@@ -188,7 +202,7 @@
                     incarnation: 0,
                     service: "desk".into(),
                     address: ([127, 0, 0, 1], 1000 + i as u16).into(),
-                    availability_zone: "north".into(),
+                    availability_zone: Arc::clone(&zones[i % zones.len()]),
                     slots: SLOTS as u32,
                     state: State::Ready,
                     cold_left: Duration::ZERO,
@@ -218,8 +232,8 @@
             })
             .collect();
         Self {
-            tokens: scenario.hosts as f64,
-            budget: quota::Settings::default(),
+            quotas: vec![quota::Quota::new(&scenario.budget, scenario.hosts); scenario.hosts],
+            zones,
             selection,
             rng,
             base,
@@ -269,11 +283,13 @@
             self.schedule(next, Event::Arrive);
         }
         self.result.requests += 1;
-        self.tokens = (self.tokens + self.budget.ratio * 0.85).min(self.scenario.hosts as f64);
+        let host = self.rng.random_range(0..self.scenario.hosts);
+        self.quotas[host].earn(&self.scenario.budget, self.scenario.hosts);
         let job = self.jobs.len();
         let repeatable = self.rng.random_bool(self.scenario.repeatable);
         self.jobs.push(Job {
             arrived: self.now,
+            host,
             repeatable,
             tried: Vec::new(),
             server: 0,
@@ -287,6 +303,7 @@
         let now = self.instant();
         let current = &self.jobs[job];
         let first = current.tried.is_empty();
+        let zone = &self.zones[current.host % self.zones.len()];
         let free: Vec<usize> = (0..self.servers.len())
             .filter(|server| !current.tried.contains(server))
             .collect();
@@ -295,14 +312,15 @@
             .map(|&server| {
                 let key = self.keys[server];
                 self.evidence
-                    .candidate(now, key, &self.upstreams[server], "north")
+                    .candidate(now, key, &self.upstreams[server], zone)
             })
             .collect();
         let typical = self.evidence.typical_latency("desk").unwrap_or_default();
-        let learn = current.repeatable && first && self.tokens >= 1.0;
+        let learn = current.repeatable && first && self.quotas[current.host].has_token();
         let request = selection::Request {
             relative_latency: typical.as_secs_f64() / self.scenario.objective,
             kilobytes: 0.3,
+            shed_ratio: self.evidence.shed_ratio("desk"),
             purpose: if learn {
                 selection::Purpose::Learn
             } else {
@@ -330,7 +348,7 @@
         if state.busy < SLOTS {
             state.busy += 1;
             self.process(job);
-        } else if state.queue.len() < MAX_QUEUED {
+        } else if state.queue.len() < self.scenario.max_queued {
             state.queue.push_back(job);
             self.schedule(
                 self.now + evidence::STILL_RUNNING_THRESHOLD.as_secs_f64(),
@@ -391,11 +409,14 @@
 
     fn release_slot(&mut self, server: usize) {
         self.update_health(server);
-        let state = &mut self.servers[server];
-        match state.queue.pop_front() {
-            Some(next) => self.process(next),
-            None => state.busy -= 1,
+        while let Some(next) = self.servers[server].queue.pop_front() {
+            if self.now - self.jobs[next].started <= self.scenario.max_wait {
+                return self.process(next);
+            }
+            self.report_end(next, Outcome::Shed);
+            self.retry(next, true);
         }
+        self.servers[server].busy -= 1;
     }
 
     fn report_still_running(&mut self, job: usize) {
@@ -421,8 +442,8 @@
 
     fn retry(&mut self, job: usize, not_run: bool) {
         let may_retry = self.jobs[job].repeatable || not_run;
-        if may_retry && self.jobs[job].tried.len() < 2 && self.tokens >= 1.0 {
-            self.tokens -= 1.0;
+        let host = self.jobs[job].host;
+        if may_retry && self.jobs[job].tried.len() < 2 && self.quotas[host].take() {
             self.send(job);
         } else if not_run {
             self.result.shed += 1;
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -9,12 +9,14 @@
 //! Repeatable requests therefore gather the evidence that the others rely on. A
 //! repeatable request first goes to a suspected backend server, as long as the
 //! retry quota covers a second attempt elsewhere. A request that is not
-//! repeatable goes to one of the backend servers with the lowest expected cost,
-//! the cheaper of two random ones.
+//! repeatable goes to a backend server with a low expected cost among a random
+//! sample. In a large service most samples have a server with good evidence;
+//! the others place requests on servers without evidence, which keeps the load
+//! from concentrating on ever fewer servers.
 
 use std::time::{Duration, Instant};
 
-use rand::{Rng, RngExt};
+use rand::{Rng, RngExt, seq::index};
 use smallvec::SmallVec;
 
 /// Weights of the selection. Costs are in failed requests.
@@ -38,9 +40,19 @@
     /// Cost of each multiple of the objective by which a response is expected to
     /// exceed it.
     pub overload_cost: f64,
+    /// Cost of waiting for a slot behind as many requests as the backend server
+    /// has slots, proportionally less behind fewer.
+    pub wait_cost: f64,
+    /// Additional `wait_cost` if the service sheds all requests, proportionally
+    /// less if it sheds fewer, up to [`MAX_SHED_RATIO`]: a waiting request is the
+    /// one that is shed.
+    pub shed_wait_cost: f64,
     /// Number of backend servers in the host's own zone, among those within
     /// `margin`, from which those of other zones are left out.
     pub same_zone_threshold: usize,
+    /// Number of random backend servers of the host's own zone, and of the other
+    /// zones, that are compared.
+    pub sample_size: usize,
     /// Time without a request from which a backend server is explored.
     pub explore_idle_threshold: Duration,
     /// Outage probability below which a backend server is explored.
@@ -62,7 +74,10 @@
             latency_spread: 0.18,
             occupancy_cost: 0.06,
             overload_cost: 0.2,
+            wait_cost: 0.2,
+            shed_wait_cost: 8.0,
             same_zone_threshold: 6,
+            sample_size: 16,
             explore_idle_threshold: Duration::from_millis(1500),
             explore_suspicion_limit: 0.4,
             cross_zone_kilobyte_cost: 0.0025,
@@ -97,10 +112,17 @@
     pub relative_latency: f64,
     /// Size of the request in kilobytes.
     pub kilobytes: f64,
+    /// Recent share of the requests of the service that were shed.
+    pub shed_ratio: f64,
     /// Purpose of the attempt.
     pub purpose: Purpose,
 }
 
+/// Share of shed requests above which the cost of waiting no longer grows.
+/// Servers that shed more do so whatever their load, and another one is no
+/// better.
+const MAX_SHED_RATIO: f64 = 0.15;
+
 /// Purpose of an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Purpose {
@@ -177,35 +199,60 @@
     (!matching.is_empty()).then(|| matching[rng.random_range(0..matching.len())])
 }
 
-/// Returns the cheaper of two random backend servers among those whose cost is
-/// within the margin of the lowest. All hosts share the same evidence, so they
-/// would all choose the single best one at the same time.
+/// Returns the cheaper of two random backend servers among those of a random
+/// sample whose cost is within the margin of the lowest. All hosts share the
+/// same evidence, so they would all choose the single best one at the same
+/// time.
 fn least_cost(
     settings: &Settings,
     candidates: &[Candidate],
     request: &Request,
     rng: &mut impl Rng,
 ) -> Option<usize> {
-    let costs: SmallVec<[f64; 64]> = candidates
+    let sample = sample(settings, candidates, rng);
+    let costs: SmallVec<[f64; 32]> = sample
         .iter()
-        .map(|candidate| cost(settings, candidate, request))
+        .map(|&position| cost(settings, &candidates[position], request))
         .collect();
     let lowest = costs.iter().copied().min_by(f64::total_cmp)?;
-    let mut eligible: SmallVec<[usize; 64]> = (0..costs.len())
-        .filter(|&position| costs[position] <= lowest + settings.margin)
+    let mut eligible: SmallVec<[usize; 32]> = (0..costs.len())
+        .filter(|&index| costs[index] <= lowest + settings.margin)
         .collect();
-    let is_same_zone = |position: &usize| candidates[*position].is_same_zone;
-    if eligible.iter().copied().filter(|p| is_same_zone(p)).count() >= settings.same_zone_threshold
-    {
-        eligible.retain(|position| is_same_zone(position));
+    let is_same_zone = |index: &usize| candidates[sample[*index]].is_same_zone;
+    if eligible.iter().filter(|index| is_same_zone(index)).count() >= settings.same_zone_threshold {
+        eligible.retain(|index| is_same_zone(index));
     }
     let left = eligible[rng.random_range(0..eligible.len())];
     let right = eligible[rng.random_range(0..eligible.len())];
-    Some(if costs[right] < costs[left] {
+    let cheaper = if costs[right] < costs[left] {
         right
     } else {
         left
-    })
+    };
+    Some(sample[cheaper])
+}
+
+/// Returns the positions of the backend servers that are compared: random ones
+/// of the host's own availability zone and of the others.
+///
+/// Many requests are placed before the hosts know of the first of them. If all
+/// hosts compared all servers of a large service, these requests would go to
+/// the few that had the lowest cost, which then shed them, while healthy
+/// servers without recent evidence got none.
+fn sample(
+    settings: &Settings,
+    candidates: &[Candidate],
+    rng: &mut impl Rng,
+) -> SmallVec<[usize; 32]> {
+    let (own, others): (Vec<usize>, Vec<usize>) =
+        (0..candidates.len()).partition(|&position| candidates[position].is_same_zone);
+    let mut sample = SmallVec::new();
+    for zone in [own, others] {
+        let amount = zone.len().min(settings.sample_size);
+        let indices = index::sample(rng, zone.len(), amount);
+        sample.extend(indices.iter().map(|index| zone[index]));
+    }
+    sample
 }
 
 /// Returns the expected cost of an attempt, in failed requests.
@@ -228,9 +275,12 @@
     };
     let occupancy = settings.occupancy_cost * candidate.in_use / slots;
     let overload = settings.overload_cost * (expected_latency - 1.0).max(0.0);
+    let shed_ratio = request.shed_ratio.min(MAX_SHED_RATIO);
+    let wait = (settings.wait_cost + settings.shed_wait_cost * shed_ratio) * relative_wait;
     candidate.outage_probability
         + occupancy
         + settings.late_cost * late_probability
         + overload
+        + wait
         + transfer
 }
--- a/crates/policy/tests/selection.rs
+++ b/crates/policy/tests/selection.rs
@@ -21,6 +21,7 @@
     Request {
         relative_latency: 0.4,
         kilobytes: 0.3,
+        shed_ratio: 0.0,
         purpose,
     }
 }
@@ -172,3 +173,41 @@
     let picks = chosen(&[used], &request(Purpose::Explore));
     expect_that!(picks, each(eq(&0)));
 }
+
+// Guards against a burst that lands on the few servers with the lowest cost
+// before their load is known: they shed it while idle servers got nothing.
+#[gtest]
+fn a_burst_on_the_same_evidence_is_spread_over_a_large_service() {
+    let unproved = Candidate {
+        outage_probability: 0.3,
+        ..healthy()
+    };
+    let mut candidates = vec![healthy(); 10];
+    candidates.extend(vec![unproved; 970]);
+    let picks = chosen(&candidates, &request(Purpose::Serve));
+    let at_the_best = picks.iter().filter(|pick| **pick < 10).count();
+    expect_that!(at_the_best, le(picks.len() / 2));
+}
+
+// Guards against requests that wait behind others at a server while the service
+// sheds what waits, and a server without recent evidence is idle.
+#[gtest]
+fn waiting_costs_more_while_the_service_sheds() {
+    let full = Candidate {
+        in_use: 4.0,
+        ..healthy()
+    };
+    let unproved = Candidate {
+        outage_probability: 0.3,
+        ..healthy()
+    };
+    let candidates = [full, unproved];
+    let picks = chosen(&candidates, &request(Purpose::Serve));
+    let waiting = picks.iter().filter(|pick| **pick == 0).count();
+    expect_that!(waiting, gt(picks.len() / 2));
+    let shedding = Request {
+        shed_ratio: 0.1,
+        ..request(Purpose::Serve)
+    };
+    expect_that!(chosen(&candidates, &shedding), each(eq(&1)));
+}
