Stream large answers whole, and end heads and bodies without end

Cause, shown by tests that failed first: the connection of an answer was closed when the attempt ended, so an answer of more than 1 MiB broke off; interim responses without end kept the thread of the daemon busy, so that no other request was served and no deadline was kept.

Change: a streamed answer holds its connection, and breaks off visibly at the deadline of its request. At most 512 KiB are read before the head of an answer is complete; the attempt then fails and counts against the server. Header lines without end and one endless line were already ended by the HTTP library; the tests keep that.

--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -18,12 +18,12 @@
     http::request,
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::JoinHandle};
+use tokio::net::TcpStream;
 
 use super::{
     answer::Reason,
-    body::{Content, Failure},
-    headers,
+    body::{ConnectionTask, Content, Failure},
+    headers, limited,
 };
 use crate::{
     catalog::Instance,
@@ -36,7 +36,13 @@
 /// is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Maximum size of an answer, in bytes: unlimited.
+/// Maximum bytes that are read before the head of an answer is complete,
+/// interim responses and the beginning of the body included.
+const MAX_HEAD_BYTES: usize = 512 << 10;
+
+/// Maximum size of an answer, in bytes: unlimited. Answers beyond
+/// [`MAX_BUFFERED_BYTES`](super::body::MAX_BUFFERED_BYTES) are streamed until the
+/// deadline.
 const MAX_ANSWER_BYTES: u64 = u64::MAX;
 
 /// How an attempt ended.
@@ -133,17 +139,6 @@
     }
 }
 
-/// The task that drives a connection. Dropping this aborts it and so closes the
-/// connection, by which the backend server sees that nobody waits for the
-/// answer.
-struct ConnectionTask(JoinHandle<()>);
-
-impl Drop for ConnectionTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// Runs one attempt on `chosen`.
 pub(super) async fn run(
     host: &Host,
@@ -223,13 +218,15 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(event = "upstream_gone", upstream = &*flight.instance.upstream.id, error = error.to_string(); "backend server closed the connection at once");
     }
+    let limit = limited::Limit::new(Cell::new(Some(MAX_HEAD_BYTES)));
+    let stream = limited::Stream::new(stream, limited::Limit::clone(&limit));
     let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
         return Ending::NotRun {
             reason: Reason::Unreachable,
             has_arrived: false,
         };
     };
-    let _task = ConnectionTask(actix_rt::spawn(async move {
+    let task = ConnectionTask(actix_rt::spawn(async move {
         // The sender returns the same error to the attempt.
         let _ = connection.await;
     }));
@@ -244,9 +241,10 @@
                 });
             }
         };
+        limit.set(None);
         read_answer(flight, context, response).await
     };
-    let ending = match wait_for_answer(flight, context, received).await {
+    let mut ending = match wait_for_answer(flight, context, received).await {
         None => {
             flight.observe(Outcome::Silent);
             return Ending::Unknown(Reason::Silent);
@@ -262,6 +260,12 @@
         }
         Some(Ok(ending)) => ending,
     };
+    if let Ending::Answered(response) | Ending::Failed(response) = &mut ending {
+        let left = context
+            .deadline
+            .saturating_duration_since(flight.host.now());
+        response.body_mut().keep_connection(task, left);
+    }
     match &ending {
         Ending::Answered(_) if flight.has_reported_running.get() => {
             flight.observe(Outcome::Finished)
--- a/crates/gateway/src/proxy/body.rs
+++ b/crates/gateway/src/proxy/body.rs
@@ -7,11 +7,13 @@
 use std::{
     pin::Pin,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::task::JoinHandle;
 
 /// Maximum size of a body that is fully buffered, in bytes.
 pub(super) const MAX_BUFFERED_BYTES: usize = 1 << 20;
@@ -21,6 +23,36 @@
 pub(crate) struct Content {
     buffered: Bytes,
     rest: Option<Incoming>,
+    /// The connection that `rest` is read from, if it is an answer.
+    source: Option<Source>,
+}
+
+/// The connection of a streamed answer, and when the stream is broken off.
+#[derive(Debug)]
+struct Source {
+    _task: ConnectionTask,
+    expiry: Pin<Box<tokio::time::Sleep>>,
+}
+
+/// The task that drives a connection to a backend server. Dropping this aborts
+/// it and so closes the connection, by which the backend server sees that nobody
+/// waits for the answer.
+#[derive(Debug)]
+pub(super) struct ConnectionTask(pub(super) JoinHandle<()>);
+
+impl Drop for ConnectionTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Why a body breaks off while it is streamed.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum StreamError {
+    #[error("{0}")]
+    Transport(hyper::Error),
+    #[error("the body did not end before the deadline")]
+    Expired,
 }
 
 /// Why a body could not be read.
@@ -38,6 +70,7 @@
         Self {
             buffered: buffered.into(),
             rest: None,
+            source: None,
         }
     }
 
@@ -64,11 +97,23 @@
                 return Ok(Self {
                     buffered: buffered.freeze(),
                     rest: Some(body),
+                    source: None,
                 });
             }
         }
     }
 
+    /// Keeps the connection open until the body has been streamed, at most until
+    /// `left` has passed: a backend server may send bytes without end.
+    pub(super) fn keep_connection(&mut self, task: ConnectionTask, left: Duration) {
+        if self.rest.is_some() {
+            self.source = Some(Source {
+                _task: task,
+                expiry: Box::pin(tokio::time::sleep(left)),
+            });
+        }
+    }
+
     /// Returns the size of the body, in kilobytes of 1024 bytes; a lower bound
     /// if the full size is not known.
     pub(super) fn kilobytes(&self) -> f64 {
@@ -87,27 +132,34 @@
         Self {
             buffered: self.buffered.clone(),
             rest: self.rest.take(),
+            source: self.source.take(),
         }
     }
 }
 
 impl Body for Content {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = StreamError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
         let this = self.get_mut();
         if !this.buffered.is_empty() {
             let buffered = std::mem::take(&mut this.buffered);
             return Poll::Ready(Some(Ok(Frame::data(buffered))));
         }
-        match &mut this.rest {
-            Some(rest) => Pin::new(rest).poll_frame(cx),
-            None => Poll::Ready(None),
+        if let Some(source) = &mut this.source
+            && source.expiry.as_mut().poll(cx).is_ready()
+        {
+            return Poll::Ready(Some(Err(StreamError::Expired)));
         }
+        let Some(rest) = &mut this.rest else {
+            return Poll::Ready(None);
+        };
+        let frame = std::task::ready!(Pin::new(rest).poll_frame(cx));
+        Poll::Ready(frame.map(|frame| frame.map_err(StreamError::Transport)))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod body;
 mod headers;
+mod limited;
 mod request;
 
 use std::{convert::Infallible, rc::Rc, time::Duration};
--- /dev/null
+++ b/crates/standin/tests/endless.rs
@@ -0,0 +1,157 @@
+//! Answers of a backend server that never end, or that are larger than what the
+//! daemon holds in memory.
+
+use std::{
+    io::{Read, Write},
+    net::{TcpListener, TcpStream},
+    thread,
+    time::{Duration, Instant},
+};
+
+use dotterelhinge_standin::gateway::{Fleet, Settings, eventually};
+use googletest::prelude::*;
+use serde_json::json;
+
+/// Deadline of each request, in milliseconds.
+const DEADLINE_MS: u64 = 1500;
+
+/// Time after the deadline within which an answer must have ended.
+const SLACK: Duration = Duration::from_secs(1);
+
+/// What a backend server in trouble sends.
+#[derive(Clone, Copy, Debug)]
+enum Endless {
+    /// Header lines.
+    Headers,
+    /// One header line.
+    Line,
+    /// Interim responses.
+    Interim,
+    /// A body without a length.
+    Body,
+}
+
+/// Starts a fleet of one daemon with the backend server `endless`.
+fn start(endless: Endless) -> Fleet {
+    let fleet = Fleet::start(Settings {
+        hosts: 1,
+        upstreams: 1,
+        ..Settings::default()
+    })
+    .unwrap_or_else(|error| panic!("{error:?}"));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let entry = json!({
+        "address": listener.local_addr().unwrap().to_string(),
+        "info": {"service": "desk", "version": "v1", "zone": "zone-0", "slots": 3},
+        "status": {"state": "ready", "seq": 1, "coldLeft": "0ms"},
+    });
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || answer(stream, endless));
+        }
+    });
+    fleet.unregister(0).unwrap();
+    fleet.put_row("servers", "endless", &entry).unwrap();
+    fleet
+}
+
+/// Reads the head of a request and answers until the connection is closed.
+fn answer(mut stream: TcpStream, endless: Endless) {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") && matches!(stream.read(&mut byte), Ok(1)) {
+        head.push(byte[0]);
+    }
+    let ok = "HTTP/1.1 200 OK\r\nx-server-stamp: s\r\n";
+    let (start, repeated) = match endless {
+        Endless::Headers => (ok.to_owned(), "a: b\r\n".to_owned()),
+        Endless::Line => (format!("{ok}a: "), "b".repeat(4096)),
+        Endless::Interim => (String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n".to_owned()),
+        Endless::Body => (format!("{ok}\r\n"), "b".repeat(4096)),
+    };
+    let _ = stream.write_all(start.as_bytes());
+    while stream.write_all(repeated.as_bytes()).is_ok() {}
+}
+
+/// Sends a request to the daemon and returns all bytes of its answer until the
+/// connection is closed, or until `SLACK` after the deadline.
+fn ask(fleet: &Fleet, path: &str) -> (Vec<u8>, Duration) {
+    let front = fleet.caller_address(0);
+    let (host, _) = front.split_once(':').unwrap();
+    let mut stream = TcpStream::connect(&front).unwrap();
+    let began = Instant::now();
+    let end = began + Duration::from_millis(DEADLINE_MS) + SLACK;
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nhost: {host}\r\nx-request-id: one\r\nx-deadline-ms: {DEADLINE_MS}\r\nconnection: close\r\n\r\n"
+    )
+    .unwrap();
+    let mut answer = Vec::new();
+    let mut buffer = vec![0; 64 << 10];
+    stream.set_read_timeout(Some(SLACK)).unwrap();
+    while Instant::now() < end {
+        match stream.read(&mut buffer) {
+            Ok(length @ 1..) => answer.extend_from_slice(&buffer[..length]),
+            Ok(0) | Err(_) => break,
+        }
+    }
+    (answer, began.elapsed())
+}
+
+/// Waits until requests go to the backend server in trouble, after which no
+/// answer says that there is none.
+fn wait_for_entry(fleet: &Fleet) {
+    let is_asked = || {
+        let (answer, _) = ask(fleet, "/lookup/1");
+        let is_from_daemon = answer.starts_with(b"HTTP/1.1 503");
+        let is_from_other = answer.windows(9).any(|part| part == b"backend-0");
+        !answer.is_empty() && !is_from_daemon && !is_from_other
+    };
+    assert!(eventually(Duration::from_secs(10), is_asked));
+}
+
+fn is_refused_in_time(endless: Endless) {
+    let fleet = start(endless);
+    wait_for_entry(&fleet);
+    let (answer, taken) = ask(&fleet, "/lookup/1");
+    let text = String::from_utf8_lossy(&answer);
+    expect_that!(text, starts_with("HTTP/1.1 50"), "{endless:?}");
+    expect_that!(text, not(starts_with("HTTP/1.1 503")), "{endless:?}");
+    expect_that!(
+        taken,
+        lt(Duration::from_millis(DEADLINE_MS) + SLACK),
+        "{endless:?}"
+    );
+}
+
+// Guards against a request that waits for a head without end, or that is told
+// not to have run.
+#[gtest]
+fn heads_without_end_are_given_up() {
+    is_refused_in_time(Endless::Headers);
+    is_refused_in_time(Endless::Line);
+    is_refused_in_time(Endless::Interim);
+}
+
+// Guards against a body without end that is passed on beyond the deadline, and
+// against one that looks complete to the caller.
+#[gtest]
+fn a_body_without_end_breaks_off_at_the_deadline() {
+    let fleet = start(Endless::Body);
+    wait_for_entry(&fleet);
+    let (answer, taken) = ask(&fleet, "/lookup/1");
+    expect_that!(answer.starts_with(b"HTTP/1.1 200"), eq(true));
+    expect_that!(answer.ends_with(b"0\r\n\r\n"), eq(false));
+    expect_that!(taken, lt(Duration::from_millis(DEADLINE_MS) + SLACK));
+}
+
+// Guards against the connection of a streamed answer being closed after the
+// part that the daemon buffers.
+#[gtest]
+fn an_answer_beyond_the_buffer_arrives_whole() {
+    let fleet = Fleet::start(Settings::default()).unwrap_or_else(|error| panic!("{error:?}"));
+    let bytes = 3_000_000;
+    let (answer, _) = ask(&fleet, &format!("/lookup/1?bytes={bytes}"));
+    expect_that!(answer.starts_with(b"HTTP/1.1 200"), eq(true));
+    expect_that!(answer.len(), gt(bytes));
+}
