--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -41,8 +41,7 @@
 const MAX_HEAD_BYTES: usize = 512 << 10;
 
 /// Maximum size of an answer, in bytes: unlimited. Answers beyond
-/// `MAX_BUFFERED_BYTES` are streamed until the
-/// deadline.
+/// `MAX_BUFFERED_BYTES` are streamed until the deadline.
 const MAX_ANSWER_BYTES: u64 = u64::MAX;
 
 /// How an attempt ended.
