Never send a part of a streamed upload as the whole body

Cause: an attempt moved the streamed rest out of the request's body, and the buffered beginning that stayed behind counted as a fully buffered body. After a connection that ended before the request was sent the next attempt sent that beginning with a length to match.

Change: Payload holds the body across attempts. It is either available whole or taken; a request that the HTTP library returns untouched restores it. The loop of attempts ends when the payload is taken, whatever the reason.

The scripted stand-in writes answers byte by byte for faults that no HTTP library produces.

--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -22,7 +22,7 @@
 
 use super::{
     answer::Reason,
-    body::{ConnectionTask, Content, Failure},
+    body::{ConnectionTask, Content, Failure, Payload},
     headers, limited,
 };
 use crate::{
@@ -143,7 +143,7 @@
     host: &Host,
     chosen: &Instance,
     context: &Context<'_>,
-    body: &mut Content,
+    payload: &mut Payload,
 ) -> Ending {
     let (key, upstream) = (chosen.key, &chosen.upstream);
     let left = context.deadline.saturating_duration_since(host.now());
@@ -180,7 +180,7 @@
     }
     let flight = InFlight::new(host, chosen);
     host.metrics.attempts.increment();
-    send_request(&flight, stream, context, body).await
+    send_request(&flight, stream, context, payload).await
 }
 
 /// Records that no connection could be opened, and reports it to other hosts
@@ -210,7 +210,7 @@
     flight: &InFlight<'_>,
     stream: TcpStream,
     context: &Context<'_>,
-    body: &mut Content,
+    payload: &mut Payload,
 ) -> Ending {
     // If this fails, the only cost is that small requests may wait for an
     // acknowledgement.
@@ -229,13 +229,24 @@
         // The sender returns the same error to the attempt.
         let _ = connection.await;
     }));
-    let request = build_request(flight, context, body.for_attempt());
+    let Some(body) = payload.take() else {
+        return Ending::NotRun {
+            reason: Reason::Unreachable,
+            has_arrived: false,
+        };
+    };
+    let request = build_request(flight, context, body);
     let received = async {
         let response = match sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
                 return Err(match error.take_message() {
-                    Some(_) => AnswerError::NotSent,
+                    // The HTTP library returns a request of which it has neither
+                    // sent nor read anything.
+                    Some(request) => {
+                        payload.restore(request.into_body());
+                        AnswerError::NotSent
+                    }
                     None => AnswerError::Transport(error.into_error()),
                 });
             }
--- a/crates/gateway/src/proxy/body.rs
+++ b/crates/gateway/src/proxy/body.rs
@@ -116,25 +116,62 @@
 
     /// Returns the size of the body, in kilobytes of 1024 bytes; a lower bound
     /// if the full size is not known.
-    pub(super) fn kilobytes(&self) -> f64 {
+    fn kilobytes(&self) -> f64 {
         self.size_hint().lower() as f64 / 1024.0
     }
 
-    /// Returns whether the body is fully buffered and can be sent again.
+    /// Returns whether the body is fully buffered.
     pub(super) fn is_fully_buffered(&self) -> bool {
         self.rest.is_none()
     }
+}
 
-    /// Returns the body for one attempt. The streamed rest is moved into the
-    /// result of the first call, so only a fully buffered body can be sent
-    /// again.
-    pub(super) fn for_attempt(&mut self) -> Self {
-        Self {
-            buffered: self.buffered.clone(),
-            rest: self.rest.take(),
-            source: self.source.take(),
+/// The body of a caller's request, of which each attempt sends all or nothing.
+///
+/// A streamed body can be read only once. After an attempt has taken it, the
+/// payload is unavailable, so that its buffered beginning is never sent as if
+/// it were the whole body.
+#[derive(Debug)]
+pub(super) enum Payload {
+    /// It can be sent.
+    Available(Content),
+    /// An attempt took the stream and may have read from it.
+    Taken,
+}
+
+impl Payload {
+    /// Returns whether an attempt can send the whole body.
+    pub(super) fn is_available(&self) -> bool {
+        matches!(self, Self::Available(_))
+    }
+
+    /// Returns the size of the body, in kilobytes; see [`Content::kilobytes`].
+    pub(super) fn kilobytes(&self) -> f64 {
+        match self {
+            Self::Available(content) => content.kilobytes(),
+            Self::Taken => 0.0,
         }
     }
+
+    /// Returns the whole body for one attempt; `None` if an earlier attempt took
+    /// its stream.
+    pub(super) fn take(&mut self) -> Option<Content> {
+        match self {
+            Self::Available(content) if content.is_fully_buffered() => {
+                Some(Content::full(content.buffered.clone()))
+            }
+            Self::Available(_) => match std::mem::replace(self, Self::Taken) {
+                Self::Available(content) => Some(content),
+                Self::Taken => None,
+            },
+            Self::Taken => None,
+        }
+    }
+
+    /// Puts back a body of which nothing was read.
+    pub(super) fn restore(&mut self, untouched: Content) {
+        *self = Self::Available(untouched);
+    }
 }
 
 impl Body for Content {
--- a/crates/gateway/src/proxy/request.rs
+++ b/crates/gateway/src/proxy/request.rs
@@ -14,7 +14,7 @@
 use super::{
     answer::{self, Reason},
     attempt::{self, Ending},
-    body::{Content, Failure},
+    body::{Content, Failure, Payload},
     headers,
 };
 use crate::{
@@ -114,7 +114,7 @@
         .to_owned();
     let mut serving = Serving::new(&host, &id);
     let mut response = match admit(&host, &head, body, &id, arrived).await {
-        Ok((admitted, body)) => admitted.run(body, arrived).await,
+        Ok((admitted, body)) => admitted.run(Payload::Available(body), arrived).await,
         Err(reason) => {
             record_refusal(&host, &id, &head, reason);
             answer::build(reason, &id)
@@ -209,8 +209,8 @@
 
 impl Admitted<'_> {
     /// Runs the attempts, records the result and returns the answer.
-    async fn run(mut self, mut body: Content, arrived: Instant) -> Response<Content> {
-        let (response, result) = self.attempts(&mut body).await;
+    async fn run(mut self, mut payload: Payload, arrived: Instant) -> Response<Content> {
+        let (response, result) = self.attempts(&mut payload).await;
         let taken = self.host.now().saturating_duration_since(arrived);
         let status = response.status().as_u16();
         if result == "answered" {
@@ -231,7 +231,7 @@
 
     /// Makes attempts until one is answered without a server error or no other
     /// may follow. Returns the answer and the name of the result.
-    async fn attempts(&mut self, body: &mut Content) -> (Response<Content>, &'static str) {
+    async fn attempts(&mut self, payload: &mut Payload) -> (Response<Content>, &'static str) {
         let mut last: Option<(Response<Content>, &'static str)> = None;
         let mut refusal = Reason::NoUpstream;
         let mut has_retry = false;
@@ -247,12 +247,11 @@
                     break;
                 }
             }
-            let Some(choice) = self.choose(now, body.kilobytes()) else {
+            let Some(choice) = self.choose(now, payload.kilobytes()) else {
                 break;
             };
             self.tried.push(choice.instance.key);
-            let is_fully_buffered = body.is_fully_buffered();
-            let ending = self.attempt(&choice, body).await;
+            let ending = self.attempt(&choice, payload).await;
             self.log_attempt(now, &choice, &ending);
             let has_arrived = !matches!(
                 ending,
@@ -284,7 +283,7 @@
                 }
                 Ending::NotRun { reason, .. } => refusal = reason,
             }
-            if self.sends >= self.route.attempts || (has_arrived && !is_fully_buffered) {
+            if self.sends >= self.route.attempts || !payload.is_available() {
                 break;
             }
         }
@@ -317,7 +316,7 @@
             ending = ending.name(), taken_ms = now.saturating_duration_since(chosen_at).as_millis() as u64, left_out = left_out; "attempt ended");
     }
 
-    async fn attempt(&self, choice: &Choice, body: &mut Content) -> Ending {
+    async fn attempt(&self, choice: &Choice, payload: &mut Payload) -> Ending {
         let can_retry = || self.can_take_retry() && self.sends + 1 < self.route.attempts;
         let context = attempt::Context {
             head: self.head,
@@ -326,7 +325,7 @@
             retry_timeout: self.retry_timeout(choice.candidate.outage_probability),
             can_retry: &can_retry,
         };
-        attempt::run(self.host, &choice.instance, &context, body).await
+        attempt::run(self.host, &choice.instance, &context, payload).await
     }
 
     /// Returns how long to wait for an answer before another backend server is
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -49,4 +49,5 @@
 pub mod program;
 pub mod relay;
 pub mod rows;
+pub mod scripted;
 pub mod soak;
