Ignore answers of the store that are older than the list

Cause: a daemon that was frozen applied a late answer of the store to a list that its peers had advanced meanwhile, and gave the result an invented version. The others held the version it built on and adopted the change.

Change: Replica ignores an answer that is not newer than its list, and never makes up a version. A change without an effect on this host's list still becomes a delta, since a list read in pages may contain it already while the list of another host with the same version does not. An answer with changes no longer counts as given at the end of the poll. The new log line changes_outdated names both versions.

--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -1,8 +1,11 @@
 //! This host's copy of the catalog, with proof of how current it is.
 //!
 //! Invariants: the version of the configuration never decreases within a
-//! process. An upstream that was removed from the list because of a store
-//! outage stays usable until it has had time to register again.
+//! process. The version of the list of upstreams is always one that the store
+//! gave, and the list is the store's at that version; an answer or report that
+//! is not newer changes nothing. An upstream that was removed from the list
+//! because of a store outage stays usable until it has had time to register
+//! again.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -288,17 +291,25 @@
         changed
     }
 
-    /// Applies changes reported by the store. Returns them as a delta for other
-    /// hosts, or `None` if nothing changed or there is no list yet.
+    /// Applies the changes of an answer of the store, which are complete up to
+    /// its `version`. Returns them as a delta for other hosts, or `None` if there
+    /// are none, or the answer is not newer than the list, or there is no list.
+    ///
+    /// An answer is older than the list if it was delayed, for example while the
+    /// process was suspended, and other hosts reported newer changes meanwhile.
+    /// Applying it would make a draining upstream ready again.
     pub fn apply_changes(
         &mut self,
         now: Instant,
         version: u64,
         changes: Vec<store::Change>,
     ) -> Option<Delta> {
-        self.detect_store_outage_end(now);
         let list = self.catalog.upstreams.clone()?;
         let base = list.version;
+        if changes.is_empty() || version <= base {
+            return None;
+        }
+        self.detect_store_outage_end(now);
         let mut upstreams = Upstreams::clone(&list.value);
         for change in &changes {
             match change {
@@ -313,10 +324,9 @@
                 }
             }
         }
-        if upstreams == *list.value {
-            return None;
-        }
-        let version = version.max(base + 1);
+        // Also without an effect here the list has this version now. A host whose
+        // list was read in one piece may lack a change that this host's list, read
+        // in pages, already has.
         self.set_list(Versioned {
             version,
             value: Arc::new(upstreams),
@@ -342,7 +352,7 @@
     }
 
     /// Applies a delta from another host if its base is the version of this
-    /// copy. Returns whether anything changed.
+    /// copy. Returns whether it was applied.
     pub fn apply_delta(&mut self, now: Instant, delta: &Delta) -> bool {
         let fits = self
             .catalog
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -136,11 +136,12 @@
     }
 }
 
-/// Estimates when the store answered a call that was sent at `started`: at the
-/// end of the poll if the call took at least that long, otherwise at `started`,
-/// which is a lower bound.
-fn answered_at(started: Instant, now: Instant) -> Instant {
-    if now.saturating_duration_since(started) >= POLL_TIMEOUT {
+/// Estimates when the store answered a poll that was sent at `started`: at its
+/// end if there was no change and it took at least that long, otherwise at
+/// `started`, which is a lower bound. An answer with a change is sent at the time
+/// of the change, however late it arrives.
+fn answered_at(started: Instant, now: Instant, has_changes: bool) -> Instant {
+    if !has_changes && now.saturating_duration_since(started) >= POLL_TIMEOUT {
         started + POLL_TIMEOUT
     } else {
         started
@@ -159,7 +160,7 @@
             found => found?,
         },
     };
-    let at = answered_at(started, host.now());
+    let at = answered_at(started, host.now(), found.value.is_some());
     let mut replica = host.replica.borrow_mut();
     let mut changed = false;
     if let Some(configuration) = found.value {
@@ -193,13 +194,16 @@
         }
         found => found?,
     };
-    let at = answered_at(started, host.now());
-    let delta = {
-        let mut replica = host.replica.borrow_mut();
-        let delta = replica.apply_changes(host.now(), found.version, found.value);
-        replica.prove_upstreams(at, found.clock, found.version);
-        delta
-    };
+    let at = answered_at(started, host.now(), !found.value.is_empty());
+    let mut replica = host.replica.borrow_mut();
+    let count = found.value.len();
+    let delta = replica.apply_changes(host.now(), found.version, found.value);
+    replica.prove_upstreams(at, found.clock, found.version);
+    let known = replica.freshness(host.now()).upstreams;
+    drop(replica);
+    if count > 0 && delta.is_none() {
+        log::info!(event = "changes_outdated", version = found.version, known = known, count = count; "answer of the store is older than the list of upstreams; its changes were ignored");
+    }
     if let Some(delta) = delta {
         log::info!(event = "upstreams_changed", version = delta.version, changes = format!("{:?}", summary(&delta.changes)); "list of upstreams changed");
         host.catalog_changed();
--- a/crates/gateway/tests/replica.rs
+++ b/crates/gateway/tests/replica.rs
@@ -174,3 +174,130 @@
         expect_that!(host.age(end), some(ge(Duration::from_secs(1) - delay)));
     }
 }
+
+// Guards against an answer of the store that is applied to a newer list: a host
+// that was suspended while an upstream sent a heartbeat and began to drain made
+// it ready again, under a version that no store gave, and told all others.
+#[gtest]
+fn a_late_answer_of_the_store_changes_nothing() {
+    let now = Instant::now();
+    let mut reader = Replica::new(REREGISTRATION);
+    let mut woken = Replica::new(REREGISTRATION);
+    for replica in [&mut reader, &mut woken] {
+        replica.replace_upstreams(now, list(5, &["a", "b"]));
+    }
+    let ready = vec![Change::Put(upstream("a", State::Ready))];
+    let draining = vec![Change::Put(upstream("a", State::Draining))];
+    for (version, changes) in [(8, ready.clone()), (11, draining)] {
+        let delta = reader.apply_changes(now, version, changes).unwrap();
+        expect_true!(woken.apply_delta(now, &delta));
+    }
+    expect_that!(woken.apply_changes(now, 8, ready), none());
+    expect_that!(usable(&woken, now), elements_are![eq("b")]);
+    let freshness = woken.freshness(now);
+    expect_that!(freshness.upstreams, eq(11));
+    expect_false!(reader.compare(now, &freshness));
+    // The next change of the store still reaches both.
+    let removed = vec![Change::Remove("a".into())];
+    let delta = woken.apply_changes(now, 12, removed).unwrap();
+    expect_true!(reader.apply_delta(now, &delta));
+}
+
+// Guards against a change that never reaches some hosts: a list that was read in
+// pages already has a change made between two of them, so applying the change
+// has no effect there, but other hosts with the same version lack it.
+#[gtest]
+fn a_change_without_effect_is_still_told_to_others() {
+    let now = Instant::now();
+    let mut paged = Replica::new(REREGISTRATION);
+    paged.replace_upstreams(now, list(5, &["a"]));
+    let mut whole = Replica::new(REREGISTRATION);
+    whole.replace_upstreams(now, list(5, &["a", "b"]));
+    let delta = paged
+        .apply_changes(now, 8, vec![Change::Remove("b".into())])
+        .unwrap();
+    expect_true!(whole.apply_delta(now, &delta));
+    expect_that!(usable(&whole, now), elements_are![eq("a")]);
+}
+
+/// A change of an upstream of the model: whether it is listed, and its state.
+fn change(id: &str, kind: u8) -> Change {
+    match kind {
+        0 => Change::Remove(id.into()),
+        1 => Change::Put(upstream(id, State::Ready)),
+        _ => Change::Put(upstream(id, State::Draining)),
+    }
+}
+
+proptest::proptest! {
+    // Guards against any order of answers, deltas and copies that leaves a host
+    // with a list that the store did not have at the version of that list.
+    #[test]
+    fn every_list_is_the_stores_at_its_version(
+        history in proptest::collection::vec((0..4u8, 0..3u8), 1..12),
+        steps in proptest::collection::vec((0..3usize, 0..3usize, 0..12usize, 0..3u8), 0..40),
+    ) {
+        let now = Instant::now();
+        let ids = ["a", "b", "c", "d"];
+        // The store's list at each version; version 0 is empty.
+        let mut states = vec![Upstreams::new()];
+        let mut changes = Vec::new();
+        for (id, kind) in history {
+            let change = change(ids[usize::from(id)], kind);
+            let mut next = states.last().cloned().unwrap_or_default();
+            match &change {
+                Change::Put(upstream) => {
+                    next.insert(Arc::clone(&upstream.id), Arc::clone(upstream));
+                }
+                Change::Remove(id) => {
+                    next.remove(id);
+                }
+            }
+            states.push(next);
+            changes.push(change);
+        }
+        let read = |version: usize| Versioned {
+            version: version as u64 + 1,
+            value: Arc::new(states[version].clone()),
+        };
+        let mut hosts = [(); 3].map(|()| Replica::new(REREGISTRATION));
+        let mut deltas = Vec::new();
+        for host in &mut hosts {
+            host.replace_upstreams(now, read(0));
+        }
+        for (host, peer, at, kind) in steps {
+            let version = at.min(states.len() - 1);
+            match kind {
+                // An answer of the store that was sent at `version` to a poll
+                // from some earlier version on, and arrives now.
+                0 => {
+                    let poll = version / 2;
+                    let answer = changes[poll..version].to_vec();
+                    let base = hosts[host].freshness(now).upstreams;
+                    // A poll starts at the version that the host has then or at
+                    // an earlier one.
+                    if base > poll as u64 {
+                        deltas.extend(hosts[host].apply_changes(now, version as u64 + 1, answer));
+                    }
+                }
+                1 if !deltas.is_empty() => {
+                    let delta = &deltas[at % deltas.len()];
+                    hosts[host].apply_delta(now, delta);
+                }
+                _ => {
+                    let freshness = hosts[peer].freshness(now);
+                    if hosts[host].compare(now, &freshness) {
+                        let copy = hosts[peer].catalog().upstreams.clone();
+                        hosts[host].replace_upstreams(now, copy.unwrap());
+                    }
+                }
+            }
+            for host in &hosts {
+                let list = host.catalog().upstreams.clone().unwrap();
+                let version = list.version as usize - 1;
+                proptest::prop_assert!(version < states.len());
+                proptest::prop_assert_eq!(&*list.value, &states[version]);
+            }
+        }
+    }
+}
--- a/crates/standin/src/gateway.rs
+++ b/crates/standin/src/gateway.rs
@@ -44,6 +44,8 @@
     pub grace: Duration,
     /// Whether the daemons reach the store and each backend server through relays.
     pub has_relays: bool,
+    /// Whether each daemon reaches the store through a relay of its own.
+    pub has_store_relays: bool,
 }
 
 impl Default for Settings {
@@ -54,6 +56,7 @@
             service_time: Duration::from_millis(30),
             grace: Duration::from_secs(6),
             has_relays: false,
+            has_store_relays: false,
         }
     }
 }
@@ -73,6 +76,8 @@
     /// Relays in front of the backend servers, followed by the one in front of
     /// the store.
     relays: Vec<Process>,
+    /// Relays in front of the store, one for each daemon, if they have their own.
+    store_relays: Vec<Process>,
     /// The daemons; `None` while a daemon is not running.
     pub hosts: Vec<Option<Process>>,
     version: u64,
@@ -132,6 +137,7 @@
             store,
             backends,
             relays: Vec::new(),
+            store_relays: Vec::new(),
             version: 0,
             next_request: 0,
         };
@@ -144,6 +150,12 @@
             fleet.store_address = relay.listening().to_owned();
             fleet.relays.push(relay);
         }
+        if fleet.settings.has_store_relays {
+            for _ in 0..fleet.settings.hosts {
+                let relay = start_relay(&fleet.store_address)?;
+                fleet.store_relays.push(relay);
+            }
+        }
         for index in 0..fleet.settings.upstreams {
             fleet.register(index, "ready")?;
         }
@@ -222,7 +234,9 @@
              [terms.bounds]\ngrace = \"{}ms\"\nretryBudgetRatio = 0.2\nbudgetSlack = 60\n",
             host % 2,
             seeds.join(","),
-            self.store_address,
+            self.store_relays
+                .get(host)
+                .map_or(&*self.store_address, Process::listening),
             self.settings.grace.as_millis(),
         )
     }
@@ -253,8 +267,7 @@
 
     /// Removes a backend server's entry from the store.
     pub fn unregister(&self, index: usize) -> Result<()> {
-        let place = json!({"table": "servers", "key": format!("backend-{index}")});
-        self.control("/control/transact", &json!({"remove": [place]}))
+        self.drop_row("servers", &format!("backend-{index}"))
     }
 
     /// Returns the version of the configuration that was written last.
@@ -270,12 +283,13 @@
     /// Changes the relay in front of a backend server, or of the store for `None`.
     pub fn set_link(&self, upstream: Option<usize>, change: &Value) -> Result<()> {
         let relay = upstream.map_or(self.relays.last(), |index| self.relays.get(index));
-        let relay = relay.ok_or(Report::new(Error))?;
-        let answer = client::post(relay.control(), "/link", change).change_context(Error)?;
-        match answer.status {
-            200 => Ok(()),
-            status => Err(Report::new(Error).attach(format!("link: {status}"))),
-        }
+        change_link(relay.ok_or(Report::new(Error))?, change)
+    }
+
+    /// Changes the relay between a daemon and the store.
+    pub fn set_store_link(&self, host: usize, change: &Value) -> Result<()> {
+        let relay = self.store_relays.get(host);
+        change_link(relay.ok_or(Report::new(Error))?, change)
     }
 
     /// Writes a row to the store, bypassing its faults.
@@ -284,6 +298,12 @@
         self.control("/control/transact", &json!({"puts": [put]}))
     }
 
+    /// Removes a row from the store, bypassing its faults.
+    pub fn drop_row(&self, table: &str, key: &str) -> Result<()> {
+        let place = json!({"table": table, "key": key});
+        self.control("/control/transact", &json!({"remove": [place]}))
+    }
+
     /// Sets a fault of the store.
     pub fn set_store_fault(&self, fault: &Value) -> Result<()> {
         self.control("/control/fault", fault)
@@ -386,6 +406,14 @@
     Process::start("standin-relay", &arguments).change_context(Error)
 }
 
+fn change_link(relay: &Process, change: &Value) -> Result<()> {
+    let answer = client::post(relay.control(), "/link", change).change_context(Error)?;
+    match answer.status {
+        200 => Ok(()),
+        status => Err(Report::new(Error).attach(format!("link: {status}"))),
+    }
+}
+
 fn route(prefix: &str, kind: &str, fields: &Value) -> Value {
     let mut route = json!({
         "name": format!("r{}", prefix.replace('/', "-")), "prefix": prefix, "kind": kind, "service": "desk",
