Refuse requests that a stopping daemon can't finish

Cause: requests were accepted until 0.55 of the grace period, whatever their deadline.

Change: policy::shutdown decides, as a state machine without a clock of its own. Until the load balancer has noticed (2.3 s) all requests are accepted; after that only those whose deadline lies before the end of the process. The flag and the time of the stop in the host's state become one value.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use dotterelhinge_policy::clock;
+use dotterelhinge_policy::{clock, shutdown::Shutdown};
 use error_stack::{Report, ResultExt};
 use tokio::{
     net::{TcpListener, TcpSocket, UdpSocket},
@@ -24,14 +24,6 @@
     store::Store,
 };
 
-/// Time after which the load balancer has noticed that the daemon is not ready:
-/// two readiness checks, one second apart, and their answers.
-const READINESS_NOTICE: Duration = Duration::from_millis(2300);
-
-/// Time before the end of the grace period at which the process exits even if
-/// requests are still being served.
-const GRACE_MARGIN: Duration = Duration::from_millis(250);
-
 /// Interval at which a stopping daemon checks whether all requests have ended.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -123,20 +115,18 @@
 /// before the end of the grace period.
 async fn stop(host: &Host) {
     let began: Instant = host.now();
-    host.stopping.set(true);
-    host.stopping_since.set(Some(began));
+    let shutdown = Shutdown::new(
+        &host.settings.shutdown,
+        began,
+        host.reloadable().grace_period,
+    );
+    host.shutdown.set(Some(shutdown));
     host.shared.set_ready(false);
     host.members.borrow_mut().set_leaving();
     host.request_flush();
     log::info!(event = "stopping", serving = host.serving.get(); "graceful shutdown begins");
-    let end = began + host.reloadable().grace_period.saturating_sub(GRACE_MARGIN);
-    loop {
+    while !shutdown.is_over(host.now(), host.serving.get()) {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        let now = host.now();
-        let noticed = now >= began + READINESS_NOTICE;
-        if (noticed && host.serving.get() == 0) || now >= end {
-            break;
-        }
     }
     log::info!(event = "stopped", serving = host.serving.get(), taken_ms = began.elapsed().as_millis() as u64; "daemon stopped");
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -8,7 +8,7 @@
     time::Instant,
 };
 
-use dotterelhinge_policy::{clock, quota, split};
+use dotterelhinge_policy::{clock, quota, shutdown, split};
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::Notify;
 
@@ -88,10 +88,8 @@
     pub log_limits: LogLimits,
     /// Counters and histograms.
     pub metrics: Arc<metrics::Registry>,
-    /// Whether a graceful shutdown has begun.
-    pub stopping: Cell<bool>,
-    /// When the graceful shutdown began.
-    pub stopping_since: Cell<Option<Instant>>,
+    /// The graceful shutdown, once it has begun.
+    pub shutdown: Cell<Option<shutdown::Shutdown>>,
     /// Number of requests being served.
     pub serving: Cell<usize>,
 }
@@ -124,8 +122,7 @@
                 failure: logging::Limiter::new(MAX_FAILURE_LINES),
                 suspicion: logging::Limiter::new(MAX_SUSPICION_LINES),
             },
-            stopping: Cell::new(false),
-            stopping_since: Cell::new(None),
+            shutdown: Cell::new(None),
             serving: Cell::new(0),
             reloadable: RefCell::new(Rc::new(settings.reloadable.clone())),
             settings,
@@ -139,6 +136,11 @@
         self.clock.now()
     }
 
+    /// Returns whether a graceful shutdown has begun.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.shutdown.get().is_some()
+    }
+
     /// Returns the reloadable settings in force.
     pub(crate) fn reloadable(&self) -> Rc<Reloadable> {
         Rc::clone(&self.reloadable.borrow())
@@ -202,7 +204,7 @@
         self.shared
             .publish_catalog(catalog, replica.freshness(now), now);
         self.shared
-            .set_ready(catalog.is_complete() && !self.stopping.get());
+            .set_ready(catalog.is_complete() && !self.is_stopping());
     }
 
     /// Chooses the service for a request on `route` by the weights of the
--- a/crates/gateway/src/proxy/request.rs
+++ b/crates/gateway/src/proxy/request.rs
@@ -38,10 +38,6 @@
 /// of the service.
 const TIMEOUT_RATIO: f64 = 4.0;
 
-/// Share of the grace period after which new requests are refused, so that
-/// earlier ones can finish.
-const REFUSE_GRACE_RATIO: f64 = 0.55;
-
 /// Minimum share of failed attempts at which a service without repeatable
 /// requests is explored. It is higher than the share of attempts that fail
 /// because of exploring itself.
@@ -121,7 +117,7 @@
         }
     };
     serving.is_done = true;
-    if host.stopping.get() {
+    if host.is_stopping() {
         response.headers_mut().insert(
             header::CONNECTION,
             header::HeaderValue::from_static("close"),
@@ -149,11 +145,7 @@
 ) -> Result<(Admitted<'a>, Content), Reason> {
     let configuration = configuration(host)?;
     let limit = configuration.limits.body_bytes;
-    let read = Content::read(body, limit).await;
-    if is_stop_near(host) {
-        return Err(Reason::Stopping);
-    }
-    let body = match read {
+    let body = match Content::read(body, limit).await {
         Ok(body) => body,
         Err(Failure::TooLarge) => return Err(Reason::TooLarge),
         Err(Failure::Broken(_)) => return Err(Reason::BadRequest),
@@ -168,12 +160,18 @@
         None => DEFAULT_TIMEOUT,
         Some(value) => Duration::from_millis(value.parse().map_err(|_| Reason::BadRequest)?),
     };
+    let deadline = arrived + left.min(route.timeout);
+    if let Some(shutdown) = host.shutdown.get()
+        && !shutdown.accepts(host.now(), deadline)
+    {
+        return Err(Reason::Stopping);
+    }
     let mut admitted = Admitted {
         host,
         id,
         head,
         service: host.choose_service(route),
-        deadline: arrived + left.min(route.timeout),
+        deadline,
         route: Arc::clone(route),
         version: configuration.version,
         is_tested: false,
@@ -199,14 +197,6 @@
     value.split_once(':').map_or(value, |(name, _)| name)
 }
 
-/// Returns whether the end of a graceful shutdown is so near that a new request
-/// might not finish.
-fn is_stop_near(host: &Host) -> bool {
-    host.stopping_since.get().is_some_and(|since| {
-        host.now() >= since + host.reloadable().grace_period.mul_f64(REFUSE_GRACE_RATIO)
-    })
-}
-
 impl Admitted<'_> {
     /// Runs the attempts, records the result and returns the answer.
     async fn run(mut self, mut payload: Payload, arrived: Instant) -> Response<Content> {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use dotterelhinge_policy::{aggregation, join, outage, quota, reader, selection};
+use dotterelhinge_policy::{aggregation, join, outage, quota, reader, selection, shutdown};
 use error_stack::Report;
 
 /// Names of the headers that callers, backend servers and this system use.
@@ -75,6 +75,8 @@
     pub aggregation: aggregation::Settings,
     /// Which hosts read the store.
     pub reader: reader::Settings,
+    /// Graceful shutdown.
+    pub shutdown: shutdown::Settings,
     /// Failure model of backend servers.
     pub outage: outage::Settings,
     /// Weights for the selection of a backend server.
@@ -148,6 +150,7 @@
             join: join::Settings::default(),
             aggregation: aggregation::Settings::default(),
             reader: reader::Settings::default(),
+            shutdown: shutdown::Settings::default(),
             outage: outage::Settings::default(),
             selection: selection::Settings::default(),
             log_level: log::LevelFilter::Info,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,4 +45,5 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod selection;
+pub mod shutdown;
 pub mod split;
