End a stopping daemon only when its answers are written

Cause: a request counted as served until its answer was handed to the HTTP library, which for a streamed answer is when its first MiB has been read.

Change: a caller connection counts as used from its first request until it has ended, which is when its last answer is written. Once the load balancer has noticed the stop, idle connections are closed and the others after their answer.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -111,8 +111,8 @@
 }
 
 /// Reports that the daemon is not ready, gives the load balancer time to
-/// notice, and waits for the requests that are being served, until shortly
-/// before the end of the grace period.
+/// notice, and waits until every answer has been written whole, at most until
+/// shortly before the end of the grace period.
 async fn stop(host: &Host) {
     let began: Instant = host.now();
     let shutdown = Shutdown::new(
@@ -125,8 +125,13 @@
     host.members.borrow_mut().set_leaving();
     host.request_flush();
     log::info!(event = "stopping", serving = host.serving.get(); "graceful shutdown begins");
-    while !shutdown.is_over(host.now(), host.serving.get()) {
+    while !shutdown.is_over(host.now(), host.used_connections.get()) {
         tokio::time::sleep(CHECK_INTERVAL).await;
+        if shutdown.is_noticed(host.now()) && !*host.closing.borrow() {
+            host.closing.send_replace(true);
+            // Idle connections close before the next check.
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
     }
-    log::info!(event = "stopped", serving = host.serving.get(), taken_ms = began.elapsed().as_millis() as u64; "daemon stopped");
+    log::info!(event = "stopped", connections = host.used_connections.get(), serving = host.serving.get(), taken_ms = began.elapsed().as_millis() as u64; "daemon stopped");
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -10,7 +10,7 @@
 
 use dotterelhinge_policy::{clock, quota, shutdown, split};
 use rand::{SeedableRng, rngs::SmallRng};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     catalog::Route,
@@ -92,6 +92,10 @@
     pub shutdown: Cell<Option<shutdown::Shutdown>>,
     /// Number of requests being served.
     pub serving: Cell<usize>,
+    /// Number of open caller connections that had a request.
+    pub used_connections: Cell<usize>,
+    /// Changes when caller connections are to be closed once they are idle.
+    pub closing: watch::Sender<bool>,
 }
 
 impl Host {
@@ -124,6 +128,8 @@
             },
             shutdown: Cell::new(None),
             serving: Cell::new(0),
+            used_connections: Cell::new(0),
+            closing: watch::Sender::new(false),
             reloadable: RefCell::new(Rc::new(settings.reloadable.clone())),
             settings,
             started: clock.now(),
