--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -276,7 +276,8 @@
                 last_sent: None,
                 backoff: None,
                 is_gone: false,
-                cold_until: now + upstream.cold_left,
+                // A duration beyond the clock's range is not a real slow start.
+                cold_until: now.checked_add(upstream.cold_left).unwrap_or(now),
             });
             servers.insert(key, server);
         }
--- a/crates/gateway/tests/evidence.rs
+++ b/crates/gateway/tests/evidence.rs
@@ -135,3 +135,21 @@
     expect_that!(f.evidence.failure_ratio("desk"), near(0.5, 0.05));
     expect_that!(f.evidence.failure_ratio("other"), gt(0.1));
 }
+
+// Guards against a daemon that ends because a peer's copy has an entry with a
+// slow start beyond the range of the clock.
+#[gtest]
+fn an_endless_slow_start_is_ignored() {
+    let mut fixture = fixture();
+    let endless = Arc::new(Upstream {
+        cold_left: Duration::MAX,
+        ..Upstream::clone(&upstream("endless"))
+    });
+    fixture
+        .evidence
+        .set_upstreams(fixture.now, [&endless].into_iter());
+    let candidate = fixture
+        .evidence
+        .candidate(fixture.now, endless.key(), &endless, "north");
+    expect_that!(candidate.latency_ratio, eq(1.0));
+}
--- a/crates/standin/src/gateway.rs
+++ b/crates/standin/src/gateway.rs
@@ -298,6 +298,12 @@
         self.control("/control/transact", &json!({"puts": [put]}))
     }
 
+    /// Writes a row with any text to the store, bypassing its faults.
+    pub fn put_text(&self, table: &str, key: &str, text: &str) -> Result<()> {
+        let put = json!({"table": table, "key": key, "text": text});
+        self.control("/control/transact", &json!({"puts": [put]}))
+    }
+
     /// Removes a row from the store, bypassing its faults.
     pub fn drop_row(&self, table: &str, key: &str) -> Result<()> {
         let place = json!({"table": table, "key": key});
--- a/crates/standin/src/rows/server.rs
+++ b/crates/standin/src/rows/server.rs
@@ -224,8 +224,7 @@
     }
 }
 
-/// Transaction of a test, which bypasses faults and rate limits. Values are
-/// JSON.
+/// Transaction of a test, which bypasses faults and rate limits.
 #[derive(Deserialize)]
 struct Direct {
     #[serde(default)]
@@ -238,7 +237,16 @@
 struct DirectPut {
     #[serde(flatten)]
     place: Place,
-    json: Value,
+    #[serde(flatten)]
+    content: DirectContent,
+}
+
+/// Content of a row, as JSON or as any text.
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum DirectContent {
+    Json(Value),
+    Text(String),
 }
 
 async fn control_transact(shared: web::Data<Shared>, direct: web::Json<Direct>) -> HttpResponse {
@@ -251,7 +259,10 @@
             .into_iter()
             .map(|put| crate::rows::state::Put {
                 place: put.place,
-                value: STANDARD.encode(put.json.to_string()),
+                value: match put.content {
+                    DirectContent::Json(value) => STANDARD.encode(value.to_string()),
+                    DirectContent::Text(text) => STANDARD.encode(text),
+                },
             })
             .collect(),
         remove: direct.remove,
