Believe a refusal only with the id of the request

Seen by operators of similar systems: a faulty server wrote an earlier refusal once more, and callers were told that requests had not run which had.

Cause here: a refusal or a 421 without a request id was believed. Each attempt has its own connection, so a repeated refusal with another id was rejected already.

Change: without the id of this request such an answer is broken (502).

--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -300,6 +300,8 @@
     Transport(hyper::Error),
     #[error("the answer has the id of another request")]
     WrongId,
+    #[error("status {0} says that the request has not run, but not which request")]
+    NoId(StatusCode),
     #[error("the answer has no signature of a backend server")]
     Unsigned,
     #[error("the answer has a content encoding that was not requested")]
@@ -407,17 +409,24 @@
     let names = &flight.host.settings.headers;
     let (mut head, body) = response.into_parts();
     let status = head.status;
-    if headers::text(&head.headers, names.request_id).is_some_and(|id| id != context.id) {
+    let id = headers::text(&head.headers, names.request_id);
+    if id.is_some_and(|id| id != context.id) {
         return Err(AnswerError::WrongId);
     }
-    if status == StatusCode::MISDIRECTED_REQUEST {
+    let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    let is_refused = head.headers.contains_key(names.not_run);
+    // Only an answer to this very request can promise that it has not run.
+    if (is_misdirected || is_refused) && id.unwrap_or_default() != context.id {
+        return Err(AnswerError::NoId(status));
+    }
+    if is_misdirected {
         flight.observe(Outcome::Gone);
         return Ok(Ending::NotRun {
             reason: Reason::Unreachable,
             has_arrived: true,
         });
     }
-    if head.headers.contains_key(names.not_run) {
+    if is_refused {
         return Ok(Ending::NotRun {
             reason: Reason::Shed,
             has_arrived: true,
