--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -195,12 +195,13 @@
         found => found?,
     };
     let at = answered_at(started, host.now(), !found.value.is_empty());
-    let mut replica = host.replica.borrow_mut();
     let count = found.value.len();
-    let delta = replica.apply_changes(host.now(), found.version, found.value);
-    replica.prove_upstreams(at, found.clock, found.version);
-    let known = replica.freshness(host.now()).upstreams;
-    drop(replica);
+    let (delta, known) = {
+        let mut replica = host.replica.borrow_mut();
+        let delta = replica.apply_changes(host.now(), found.version, found.value);
+        replica.prove_upstreams(at, found.clock, found.version);
+        (delta, replica.freshness(host.now()).upstreams)
+    };
     if count > 0 && delta.is_none() {
         log::info!(event = "changes_outdated", version = found.version, known = known, count = count; "answer of the store is older than the list of upstreams; its changes were ignored");
     }
