Bound framing without end, and uploads that stop midway

Cause: the HTTP library reads on as long as bytes arrive that are no part of a body, and the limit on such bytes ended with the head of the answer.

Change: the limit holds from one part of the body to the next as well. A connection lets other tasks run after four reads of up to 64 KiB in a row.

--- a/crates/gateway/src/proxy/answer.rs
+++ b/crates/gateway/src/proxy/answer.rs
@@ -1,7 +1,7 @@
 //! Error answers that the daemon generates itself.
 //!
-//! Status 503 promises that the request has not run and is used only if that is
-//! certain. If the request may have run, the status is 502 or 504.
+//! Status 503 and 408 promise that the request has not run and are used only if
+//! that is certain. If the request may have run, the status is 502 or 504.
 
 use std::time::Duration;
 
@@ -32,6 +32,8 @@
     BadRequest,
     /// The body is larger than allowed.
     TooLarge,
+    /// The body was not received before the deadline.
+    Incomplete,
     /// No backend server is usable.
     NoUpstream,
     /// No backend server was reached: the connection failed or ended before the
@@ -63,6 +65,7 @@
             Self::NoRoute => "no-route",
             Self::BadRequest => "bad-request",
             Self::TooLarge => "too-large",
+            Self::Incomplete => "incomplete",
             Self::NoUpstream => "no-upstream",
             Self::Unreachable => "connect-failed",
             Self::Shed => "upstream-shed",
@@ -85,6 +88,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Incomplete => StatusCode::REQUEST_TIMEOUT,
             Self::Silent => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
             Self::NotReady
--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -37,9 +37,9 @@
 /// is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Maximum bytes that are read before the head of an answer is complete,
-/// interim responses and the beginning of the body included.
-const MAX_HEAD_BYTES: usize = 512 << 10;
+/// Maximum bytes that are read before the head of an answer is complete, or from
+/// one part of its body to the next. The HTTP library reads up to 408 KiB ahead.
+const MAX_OVERHEAD_BYTES: usize = 512 << 10;
 
 /// Maximum size of an answer, in bytes: unlimited. Answers beyond
 /// `MAX_BUFFERED_BYTES` are streamed until the deadline.
@@ -236,8 +236,8 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(event = "upstream_gone", upstream = &*flight.instance.upstream.id, error = error.to_string(); "backend server closed the connection at once");
     }
-    let limit = limited::Limit::new(Cell::new(Some(MAX_HEAD_BYTES)));
-    let stream = limited::Stream::new(stream, limited::Limit::clone(&limit));
+    let limit = limited::Limit::new(MAX_OVERHEAD_BYTES);
+    let stream = limited::Stream::new(stream, Some(limit.clone()));
     let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
         return Ending::NotRun {
             reason: Reason::Unreachable,
@@ -270,8 +270,8 @@
                 });
             }
         };
-        limit.set(None);
-        read_answer(flight, context, response).await
+        limit.reset();
+        read_answer(flight, context, response, limit).await
     };
     let mut ending = match wait_for_answer(flight, context, received).await {
         None => {
@@ -440,6 +440,7 @@
     flight: &InFlight<'_>,
     context: &Context<'_>,
     response: Response<hyper::body::Incoming>,
+    limit: limited::Limit,
 ) -> Result<Ending, AnswerError> {
     let names = &flight.host.settings.headers;
     let (mut head, body) = response.into_parts();
@@ -484,7 +485,7 @@
     if head.headers.contains_key(header::CONTENT_ENCODING) {
         return Err(AnswerError::Encoded);
     }
-    let body = match Content::read(body, MAX_ANSWER_BYTES).await {
+    let body = match Content::read(body, MAX_ANSWER_BYTES, Some(limit)).await {
         Ok(body) => body,
         Err(Failure::Broken(error)) => return Err(AnswerError::Transport(error)),
         // Does not occur: the size is unlimited.
--- a/crates/gateway/src/proxy/body.rs
+++ b/crates/gateway/src/proxy/body.rs
@@ -11,10 +11,11 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::task::JoinHandle;
 
+use super::limited;
+
 /// Maximum size of a body that is fully buffered, in bytes.
 pub(super) const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
@@ -22,11 +23,34 @@
 #[derive(Debug)]
 pub(crate) struct Content {
     buffered: Bytes,
-    rest: Option<Incoming>,
+    rest: Option<Received>,
     /// The connection that `rest` is read from, if it is an answer.
     source: Option<Source>,
 }
 
+/// A body that is being received, and the limit on the bytes of its connection.
+#[derive(Debug)]
+struct Received {
+    body: Incoming,
+    limit: Option<limited::Limit>,
+}
+
+impl Received {
+    /// Polls for the next part. Each part that has data resets the limit.
+    fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let (Some(Ok(frame)), Some(limit)) = (&frame, &self.limit)
+            && frame.data_ref().is_some_and(|data| !data.is_empty())
+        {
+            limit.reset();
+        }
+        Poll::Ready(frame)
+    }
+}
+
 /// The connection of a streamed answer, and when the stream is broken off.
 #[derive(Debug)]
 struct Source {
@@ -75,14 +99,21 @@
     }
 
     /// Reads a body until it ends or the buffer is full. Fails if the bytes
-    /// read or the announced length exceed `limit`.
-    pub(super) async fn read(mut body: Incoming, limit: u64) -> Result<Self, Failure> {
-        if body.size_hint().lower() > limit {
+    /// read or the announced length exceed `max_bytes`. `limit` bounds what its
+    /// connection may send without a part of the body.
+    pub(super) async fn read(
+        body: Incoming,
+        max_bytes: u64,
+        limit: Option<limited::Limit>,
+    ) -> Result<Self, Failure> {
+        if body.size_hint().lower() > max_bytes {
             return Err(Failure::TooLarge);
         }
+        let mut received = Received { body, limit };
         let mut buffered = BytesMut::new();
         loop {
-            let Some(frame) = body.frame().await else {
+            let next = std::future::poll_fn(|cx| received.poll_frame(cx));
+            let Some(frame) = next.await else {
                 return Ok(Self::full(buffered));
             };
             let frame = frame.map_err(Failure::Broken)?;
@@ -90,13 +121,13 @@
             if let Ok(data) = frame.into_data() {
                 buffered.extend_from_slice(&data);
             }
-            if buffered.len() as u64 > limit {
+            if buffered.len() as u64 > max_bytes {
                 return Err(Failure::TooLarge);
             }
             if buffered.len() > MAX_BUFFERED_BYTES {
                 return Ok(Self {
                     buffered: buffered.freeze(),
-                    rest: Some(body),
+                    rest: Some(received),
                     source: None,
                 });
             }
@@ -195,12 +226,16 @@
         let Some(rest) = &mut this.rest else {
             return Poll::Ready(None);
         };
-        let frame = std::task::ready!(Pin::new(rest).poll_frame(cx));
+        let frame = std::task::ready!(rest.poll_frame(cx));
         Poll::Ready(frame.map(|frame| frame.map_err(StreamError::Transport)))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.buffered.is_empty() && self.rest.as_ref().is_none_or(Body::is_end_stream)
+        self.buffered.is_empty()
+            && self
+                .rest
+                .as_ref()
+                .is_none_or(|rest| rest.body.is_end_stream())
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -209,7 +244,7 @@
             return SizeHint::with_exact(buffered);
         };
         let mut hint = SizeHint::new();
-        let rest = rest.size_hint();
+        let rest = rest.body.size_hint();
         hint.set_lower(buffered + rest.lower());
         if let Some(upper) = rest.upper() {
             hint.set_upper(buffered + upper);
--- a/crates/gateway/src/proxy/connection.rs
+++ b/crates/gateway/src/proxy/connection.rs
@@ -6,7 +6,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
 
-use super::request;
+use super::{limited, request};
 use crate::host::Host;
 
 /// Time beyond the configured idle timeout after which an idle caller
@@ -72,7 +72,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout) + IDLE_SLACK)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(limited::Stream::new(stream, None)), service);
     let mut connection = pin!(connection);
     let mut closing = host.closing.subscribe();
     let served = tokio::select! {
--- a/crates/gateway/src/proxy/limited.rs
+++ b/crates/gateway/src/proxy/limited.rs
@@ -1,4 +1,4 @@
-//! A stream whose reader gets a limited number of bytes.
+//! A stream from which a limited number of bytes is read at a time.
 
 use std::{
     cell::Cell,
@@ -10,21 +10,55 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Number of bytes that may still be read; `None` without a limit.
-pub(super) type Limit = Rc<Cell<Option<usize>>>;
+/// Maximum bytes that one read returns.
+const MAX_READ_BYTES: usize = 64 << 10;
 
-/// A stream that fails to be read once its limit is used up. Without a limit on
-/// the head of an answer, interim responses without end would keep the thread
-/// busy and all other requests of the host waiting.
+/// Number of reads in a row after which other tasks run first.
+const MAX_READS: u32 = 4;
+
+/// Number of bytes that may be read before the receiver gets anything from them:
+/// the head of an answer, or the next part of its body.
+#[derive(Clone, Debug)]
+pub(super) struct Limit {
+    left: Rc<Cell<usize>>,
+    bytes: usize,
+}
+
+impl Limit {
+    /// Allows `bytes` bytes.
+    pub(super) fn new(bytes: usize) -> Self {
+        Self {
+            left: Rc::new(Cell::new(bytes)),
+            bytes,
+        }
+    }
+
+    /// Allows the whole number of bytes again, after the receiver got something.
+    pub(super) fn reset(&self) {
+        self.left.set(self.bytes);
+    }
+}
+
+/// A stream that fails to be read once its limit is used up, and that lets other
+/// tasks run while bytes arrive without a pause.
+///
+/// The HTTP library reads on as long as bytes arrive that are neither a head nor
+/// a part of a body, such as interim responses, or a chunk size, without end.
+/// That would keep the thread busy and all other requests of the host waiting.
 pub(super) struct Stream<S> {
     inner: S,
-    limit: Limit,
+    limit: Option<Limit>,
+    reads: u32,
 }
 
 impl<S> Stream<S> {
-    /// Limits the bytes read from `inner`.
-    pub(super) fn new(inner: S, limit: Limit) -> Self {
-        Self { inner, limit }
+    /// Limits the bytes read from `inner`, if there is a limit.
+    pub(super) fn new(inner: S, limit: Option<Limit>) -> Self {
+        Self {
+            inner,
+            limit,
+            reads: 0,
+        }
     }
 }
 
@@ -34,16 +68,26 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let Some(left) = self.limit.get() else {
-            return Pin::new(&mut self.inner).poll_read(cx, buffer);
-        };
-        if left == 0 {
-            return Poll::Ready(Err(io::Error::other("the head of the answer is too large")));
+        let left = self.limit.as_ref().map(|limit| limit.left.get());
+        if left == Some(0) {
+            let error = "the answer has too many bytes without a head or a part of its body";
+            return Poll::Ready(Err(io::Error::other(error)));
+        }
+        if self.reads >= MAX_READS {
+            self.reads = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let length = buffer.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
+        let polled = Pin::new(&mut self.inner).poll_read(cx, &mut part);
+        let read = part.filled().len();
+        self.reads = if polled.is_ready() { self.reads + 1 } else { 0 };
+        ready!(polled)?;
+        buffer.advance(read);
+        if let Some(limit) = &self.limit {
+            limit.left.set(limit.left.get().saturating_sub(read));
         }
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.inner).poll_read(cx, buffer))?;
-        let read = buffer.filled().len() - before;
-        self.limit.set(Some(left.saturating_sub(read)));
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/gateway/src/proxy/request.rs
+++ b/crates/gateway/src/proxy/request.rs
@@ -152,23 +152,24 @@
     arrived: Instant,
 ) -> Result<(Admitted<'a>, Content), Reason> {
     let configuration = configuration(host)?;
-    let limit = configuration.limits.body_bytes;
-    let body = match Content::read(body, limit).await {
-        Ok(body) => body,
-        Err(Failure::TooLarge) => return Err(Reason::TooLarge),
-        Err(Failure::Broken(_)) => return Err(Reason::BadRequest),
+    let max_bytes = configuration.limits.body_bytes;
+    let timeout = match route(&configuration, head) {
+        Ok(route) => deadline_after(host, head, route).unwrap_or(route.timeout),
+        // The error is returned once the body has been read.
+        Err(_) => DEFAULT_TIMEOUT,
+    };
+    let left = (arrived + timeout).saturating_duration_since(host.now());
+    let read = tokio::time::timeout(left, Content::read(body, max_bytes, None));
+    let body = match read.await {
+        Ok(Ok(body)) => body,
+        Ok(Err(Failure::TooLarge)) => return Err(Reason::TooLarge),
+        Ok(Err(Failure::Broken(_))) => return Err(Reason::BadRequest),
+        Err(_) => return Err(Reason::Incomplete),
     };
     // The configuration may have changed while the body was read.
     let configuration = self::configuration(host)?;
-    let name = headers::text(&head.headers, header::HOST.as_str()).ok_or(Reason::BadRequest)?;
-    let route = configuration
-        .route(host_name(name), head.uri.path())
-        .ok_or(Reason::NoRoute)?;
-    let left = match headers::text(&head.headers, host.settings.headers.deadline) {
-        None => DEFAULT_TIMEOUT,
-        Some(value) => Duration::from_millis(value.parse().map_err(|_| Reason::BadRequest)?),
-    };
-    let deadline = arrived + left.min(route.timeout);
+    let route = route(&configuration, head)?;
+    let deadline = arrived + deadline_after(host, head, route)?;
     if let Some(shutdown) = host.shutdown.get()
         && !shutdown.accepts(host.now(), deadline)
     {
@@ -191,6 +192,27 @@
     Ok((admitted, body))
 }
 
+/// Returns the route of a request.
+fn route<'a>(
+    configuration: &'a Configuration,
+    head: &request::Parts,
+) -> Result<&'a Arc<Route>, Reason> {
+    let name = headers::text(&head.headers, header::HOST.as_str()).ok_or(Reason::BadRequest)?;
+    configuration
+        .route(host_name(name), head.uri.path())
+        .ok_or(Reason::NoRoute)
+}
+
+/// Returns the time from the arrival of a request until its deadline, which its
+/// caller or the timeout of its route sets.
+fn deadline_after(host: &Host, head: &request::Parts, route: &Route) -> Result<Duration, Reason> {
+    let left = match headers::text(&head.headers, host.settings.headers.deadline) {
+        None => DEFAULT_TIMEOUT,
+        Some(value) => Duration::from_millis(value.parse().map_err(|_| Reason::BadRequest)?),
+    };
+    Ok(left.min(route.timeout))
+}
+
 /// Returns the configuration in force once the catalog is complete.
 fn configuration(host: &Host) -> Result<Arc<Configuration>, Reason> {
     let replica = host.replica.borrow();
@@ -346,7 +368,8 @@
     }
 
     async fn attempt(&self, choice: &Choice, payload: &mut Payload) -> Ending {
-        let can_retry = || self.can_take_retry() && self.sends + 1 < self.route.attempts;
+        let can_retry =
+            || self.can_take_retry() && self.sends + 1 < self.route.attempts && self.has_untried();
         let context = attempt::Context {
             head: self.head,
             id: self.id,
--- a/crates/standin/tests/endless.rs
+++ b/crates/standin/tests/endless.rs
@@ -18,6 +18,13 @@
 /// Time after the deadline within which an answer must have ended.
 const SLACK: Duration = Duration::from_secs(1);
 
+/// Deadline of requests that must not be held up, in milliseconds: long enough to
+/// tell an answer that is given up at once from one that is at the deadline.
+const LONG_DEADLINE_MS: u64 = 6000;
+
+/// Time within which a request is answered although others get bytes without end.
+const HELD_UP: Duration = Duration::from_secs(3);
+
 /// What a backend server in trouble sends.
 #[derive(Clone, Copy, Debug)]
 enum Endless {
@@ -29,6 +36,12 @@
     Interim,
     /// A body without a length.
     Body,
+    /// The size of a chunk.
+    ChunkSize,
+    /// The extension of a chunk.
+    ChunkExtension,
+    /// Trailers behind a body in chunks.
+    Trailers,
 }
 
 /// Starts a fleet of one daemon with the backend server `endless`.
@@ -63,11 +76,18 @@
         head.push(byte[0]);
     }
     let ok = "HTTP/1.1 200 OK\r\nx-server-stamp: s\r\n";
+    let chunked = "transfer-encoding: chunked\r\n\r\n";
     let (start, repeated) = match endless {
         Endless::Headers => (ok.to_owned(), "a: b\r\n".to_owned()),
         Endless::Line => (format!("{ok}a: "), "b".repeat(4096)),
         Endless::Interim => (String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n".to_owned()),
         Endless::Body => (format!("{ok}\r\n"), "b".repeat(4096)),
+        Endless::ChunkSize => (format!("{ok}{chunked}"), "0".repeat(65536)),
+        Endless::ChunkExtension => (format!("{ok}{chunked}1;a="), "b".repeat(4096)),
+        Endless::Trailers => (
+            format!("{ok}{chunked}1\r\na\r\n0\r\n"),
+            "a: b\r\n".to_owned(),
+        ),
     };
     let _ = stream.write_all(start.as_bytes());
     while stream.write_all(repeated.as_bytes()).is_ok() {}
@@ -76,19 +96,25 @@
 /// Sends a request to the daemon and returns all bytes of its answer until the
 /// connection is closed, or until `SLACK` after the deadline.
 fn ask(fleet: &Fleet, path: &str) -> (Vec<u8>, Duration) {
+    ask_within(fleet, path, DEADLINE_MS)
+}
+
+/// As [`ask`], with another deadline.
+fn ask_within(fleet: &Fleet, path: &str, deadline_ms: u64) -> (Vec<u8>, Duration) {
     let front = fleet.caller_address(0);
     let (host, _) = front.split_once(':').unwrap();
     let mut stream = TcpStream::connect(&front).unwrap();
     let began = Instant::now();
-    let end = began + Duration::from_millis(DEADLINE_MS) + SLACK;
+    let longest = Duration::from_millis(deadline_ms) + SLACK;
+    let end = began + longest;
     write!(
         stream,
-        "GET {path} HTTP/1.1\r\nhost: {host}\r\nx-request-id: one\r\nx-deadline-ms: {DEADLINE_MS}\r\nconnection: close\r\n\r\n"
+        "GET {path} HTTP/1.1\r\nhost: {host}\r\nx-request-id: one\r\nx-deadline-ms: {deadline_ms}\r\nconnection: close\r\n\r\n"
     )
     .unwrap();
     let mut answer = Vec::new();
     let mut buffer = vec![0; 64 << 10];
-    stream.set_read_timeout(Some(SLACK)).unwrap();
+    stream.set_read_timeout(Some(longest)).unwrap();
     while Instant::now() < end {
         match stream.read(&mut buffer) {
             Ok(length @ 1..) => answer.extend_from_slice(&buffer[..length]),
@@ -133,6 +159,38 @@
     is_refused_in_time(Endless::Interim);
 }
 
+// Guards against framing without end, behind a sound head, that keeps the thread
+// busy until the deadline, so that other requests get no answer in time.
+#[gtest]
+fn framing_without_end_is_given_up_at_once() {
+    for endless in [
+        Endless::ChunkSize,
+        Endless::ChunkExtension,
+        Endless::Trailers,
+    ] {
+        let fleet = start(endless);
+        wait_for_entry(&fleet);
+        thread::scope(|scope| {
+            let endless_asks: Vec<_> = (0..25)
+                .map(|_| scope.spawn(|| ask_within(&fleet, "/lookup/1", LONG_DEADLINE_MS)))
+                .collect();
+            // Requests that need no server take no longer for the others.
+            for _ in 0..20 {
+                let (answer, taken) = ask_within(&fleet, "/nowhere/1", LONG_DEADLINE_MS);
+                expect_that!(answer.starts_with(b"HTTP/1.1 404"), eq(true));
+                expect_that!(taken, lt(HELD_UP), "{endless:?}");
+            }
+            for asked in endless_asks {
+                let (answer, taken) = asked.join().unwrap();
+                let text = String::from_utf8_lossy(&answer);
+                expect_that!(text, starts_with("HTTP/1.1 50"), "{endless:?}");
+                expect_that!(text, not(starts_with("HTTP/1.1 503")), "{endless:?}");
+                expect_that!(taken, lt(HELD_UP), "{endless:?}");
+            }
+        });
+    }
+}
+
 // Guards against a body without end that is passed on beyond the deadline, and
 // against one that looks complete to the caller.
 #[gtest]
@@ -140,7 +198,8 @@
     let fleet = start(Endless::Body);
     wait_for_entry(&fleet);
     let (answer, taken) = ask(&fleet, "/lookup/1");
-    expect_that!(answer.starts_with(b"HTTP/1.1 200"), eq(true));
+    let begin = String::from_utf8_lossy(&answer[..answer.len().min(300)]).into_owned();
+    expect_that!(begin, starts_with("HTTP/1.1 200"));
     expect_that!(answer.ends_with(b"0\r\n\r\n"), eq(false));
     expect_that!(taken, lt(Duration::from_millis(DEADLINE_MS) + SLACK));
 }
--- a/crates/standin/tests/gateway_upload.rs
+++ b/crates/standin/tests/gateway_upload.rs
@@ -1,6 +1,11 @@
 //! Uploads beyond what a daemon buffers, to backend servers in trouble.
 
-use std::{io::Write, thread, time::Duration};
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
 
 use dotterelhinge_standin::{
     gateway::{Fleet, Settings, eventually},
@@ -112,3 +117,32 @@
     let is_answered = |status: &Option<u16>| matches!(status, Some(200 | 502 | 503));
     expect_true!(statuses.iter().all(is_answered), "{statuses:?}");
 }
+
+// Guards against an upload that stops midway and is never answered.
+#[gtest]
+fn an_upload_that_stops_midway_is_refused_at_its_deadline() {
+    let (fleet, servers) = start(|connection| {
+        let request = connection.read_request()?;
+        connection.succeed(&request)
+    });
+    let mut caller = TcpStream::connect(fleet.caller_address(0)).unwrap();
+    write!(
+        caller,
+        "POST /scan/1 HTTP/1.1\r\nhost: {}\r\nx-request-id: stalled\r\nx-deadline-ms: 1000\r\n\
+         content-length: 1000\r\n\r\nbegin",
+        fleet.ip(0)
+    )
+    .unwrap();
+    let began = Instant::now();
+    caller
+        .set_read_timeout(Some(Duration::from_secs(3)))
+        .unwrap();
+    let mut answer = [0; 12];
+    let is_answered = caller.read_exact(&mut answer).is_ok();
+    expect_true!(is_answered);
+    expect_that!(answer, eq(*b"HTTP/1.1 408"));
+    expect_that!(began.elapsed(), lt(Duration::from_millis(1500)));
+    for server in &servers {
+        expect_that!(server.received(), is_empty());
+    }
+}
