Keep waiting for a slow lookup if there is no other server

Cause: an attempt is given up after its retry timeout if the retry budget and the route allow another one. Whether there is a server to send it to was not asked.

Change: an untried server that may get the request must exist.

--- a/crates/gateway/src/proxy/request.rs
+++ b/crates/gateway/src/proxy/request.rs
@@ -380,6 +380,17 @@
         attempt::run(self.host, &choice.instance, &context, payload).await
     }
 
+    /// Returns whether a backend server that was not tried yet may get the request.
+    fn has_untried(&self) -> bool {
+        let now = self.host.now();
+        let replica = self.host.replica.borrow();
+        let evidence = self.host.evidence.borrow();
+        replica.usable(now, &self.service).any(|instance| {
+            !self.tried.contains(&instance.key)
+                && evidence.check(now, instance.key, Listing::Ready).is_ok()
+        })
+    }
+
     /// Returns how long to wait for an answer before another backend server is
     /// tried; `None` if the request is not repeatable or the typical latency of
     /// the service is not known.
--- a/crates/standin/tests/gateway_answers.rs
+++ b/crates/standin/tests/gateway_answers.rs
@@ -115,3 +115,23 @@
         }
     }
 }
+
+// Guards against a lookup that is given up because it takes longer than usual,
+// although there is no other server to try.
+#[gtest]
+fn a_slow_lookup_is_not_given_up_without_another_server() {
+    let (mut fleet, server) = start(|connection| {
+        let request = connection.read_request()?;
+        if request.head.query("slow").is_some() {
+            std::thread::sleep(Duration::from_millis(600));
+        }
+        connection.succeed(&request)
+    });
+    for _ in 0..10 {
+        let answer = fleet.send(0, "GET", "/lookup/1", b"");
+        expect_that!(answer.status, some(eq(200)));
+    }
+    let answer = fleet.send(0, "GET", "/lookup/1?slow=1", b"");
+    expect_that!(answer.status, some(eq(200)));
+    expect_that!(runs(&server, &answer), eq(1));
+}
