Soak: servers say that they leave, and ask for time

Change: two steps with a random generator of their own, so that the other steps of a seed stay as they are; the backend stand-in records each arrival and what its answer said; the soak checks that no request sent 0.5 s after an answer that said that the server leaves reaches it from the host that got the answer, until the server's next start, and that two at most arrive in the time for which a server asked for none. A kill, freeze or start of the host excuses.

--- a/crates/standin/src/backend/answer.rs
+++ b/crates/standin/src/backend/answer.rs
@@ -20,6 +20,10 @@
     pub(crate) is_chunked: bool,
     pub(crate) is_truncated: bool,
     pub(crate) is_draining: bool,
+    pub(crate) is_leaving: bool,
+    pub(crate) retry_after: Option<f64>,
+    /// Number of the request among the arrivals of the record.
+    pub(crate) arrival: Option<usize>,
     pub(crate) is_abandoned: bool,
     pub(crate) has_body: bool,
 }
@@ -35,6 +39,9 @@
             is_chunked: false,
             is_truncated: false,
             is_draining: false,
+            is_leaving: false,
+            retry_after: None,
+            arrival: None,
             is_abandoned: false,
             has_body: true,
         }
@@ -78,6 +85,12 @@
         if self.is_draining {
             head.push_str("x-draining: 1\r\n");
         }
+        if self.is_leaving {
+            head.push_str("server-leaving: 1\r\n");
+        }
+        if let Some(seconds) = self.retry_after {
+            head.push_str(&format!("retry-after: {seconds}\r\n"));
+        }
         if !self.keep_alive {
             head.push_str("connection: close\r\n");
         }
--- a/crates/standin/src/backend/connection.rs
+++ b/crates/standin/src/backend/connection.rs
@@ -139,7 +139,10 @@
         return Err(End::Close);
     };
     let keeps_alive = head.keeps_alive() && decoder.is_done();
-    let mut answer = if head.path() == "/health" {
+    let is_probe = head.path() == "/health";
+    let id = head.headers.get("x-request-id").unwrap_or_default();
+    let arrival = (!is_probe).then(|| server.record.arrive(id, server.index));
+    let mut answer = if is_probe {
         probe(server, stream).await?
     } else if head
         .headers
@@ -160,7 +163,9 @@
         }
         if plan.is_shed {
             server.count_shed();
-            Answer::not_run(&head)
+            let mut answer = Answer::not_run(&head);
+            answer.retry_after = plan.retry_after;
+            answer
         } else if let Some(slot) = server.take_slot() {
             let begun = begin_request(server, &head, &class);
             let mut answer = execute(server, stream, &head, decoder, &plan, arrived).await?;
@@ -172,6 +177,7 @@
             // The slot must be free by the time the caller has the answer.
             drop(slot);
             answer.keep_alive = head.keeps_alive();
+            answer.arrival = arrival;
             return write(server, connection, stream, answer).await;
         } else {
             Answer::not_run(&head)
@@ -179,6 +185,7 @@
     };
     // The body of a request that was not begun is not read.
     answer.keep_alive = keeps_alive;
+    answer.arrival = arrival;
     write(server, connection, stream, answer).await
 }
 
@@ -318,6 +325,12 @@
         return Err(End::Silent);
     }
     answer.is_draining |= server.drains();
+    if let Some(arrival) = answer.arrival {
+        answer.is_leaving = server.leaves();
+        server
+            .record
+            .answer(arrival, answer.is_leaving, answer.retry_after);
+    }
     answer.keep_alive &= !answer.is_draining && !answer.is_truncated;
     let message = answer.encode(&server.name);
     stream.socket.write_all(&message).await?;
--- a/crates/standin/src/backend/control.rs
+++ b/crates/standin/src/backend/control.rs
@@ -32,6 +32,7 @@
         App::new()
             .app_data(web::Data::clone(&backends))
             .route("/record", web::get().to(record))
+            .route("/arrivals", web::get().to(arrivals))
             .route("/reset", web::post().to(reset))
             .route("/fault", web::post().to(set_fault))
             .route("/servers", web::get().to(servers))
@@ -54,6 +55,10 @@
     HttpResponse::Ok().json(backends.record.after(query.after))
 }
 
+async fn arrivals(backends: web::Data<Backends>) -> HttpResponse {
+    HttpResponse::Ok().json(backends.record.arrivals())
+}
+
 async fn reset(backends: web::Data<Backends>) -> HttpResponse {
     backends.record.reset();
     HttpResponse::NoContent().finish()
--- a/crates/standin/src/backend/fault.rs
+++ b/crates/standin/src/backend/fault.rs
@@ -88,7 +88,12 @@
         /// Share of the requests that are affected, from 0 to 1.
         #[serde(default = "always")]
         share: f64,
+        /// Value of `retry-after` in these answers, in seconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        retry_after: Option<f64>,
     },
+    /// All answers but those of probes carry `server-leaving: 1`.
+    Leave {},
     /// Answers are sent after the deadline in `x-deadline-ms`.
     Late {
         /// How long after the deadline.
@@ -131,7 +136,7 @@
             Fault::Slow { share, .. }
             | Fault::Fail { share, .. }
             | Fault::Cut { share }
-            | Fault::Shed { share }
+            | Fault::Shed { share, .. }
             | Fault::Late { share, .. }
             | Fault::Crossed { share }
                 if !(0.0..=1.0).contains(share) =>
@@ -215,6 +220,8 @@
     pub hang: Option<bool>,
     /// Whether it is answered as not run.
     pub is_shed: bool,
+    /// Value of `retry-after` if it is.
+    pub retry_after: Option<f64>,
     /// Whether the connection closes half-way through the answer.
     pub is_cut: bool,
     /// Whether it is answered with another request's id.
@@ -290,6 +297,13 @@
             .any(|rule| rule.class.is_none() && matches!(rule.active(now), Some(Fault::Drain {})))
     }
 
+    /// Whether all answers say that the server is leaving.
+    pub fn leaves(&self, now: Instant) -> bool {
+        self.0
+            .iter()
+            .any(|rule| matches!(rule.active(now), Some(Fault::Leave {})))
+    }
+
     /// Returns the effect of the faults on a request with the given service
     /// time. Draws from `random` once per active fault of the request that has a
     /// share.
@@ -306,6 +320,7 @@
             status: 200,
             hang: None,
             is_shed: false,
+            retry_after: None,
             is_cut: false,
             is_crossed: false,
             lateness: None,
@@ -335,7 +350,10 @@
                 Fault::Hang { begin } => plan.hang = Some(*begin),
                 Fault::Drain {} => plan.is_draining = true,
                 Fault::Cold { factor, .. } => factors *= factor,
-                Fault::Shed { share } if is_hit(*share) => plan.is_shed = true,
+                Fault::Shed { share, retry_after } if is_hit(*share) => {
+                    plan.is_shed = true;
+                    plan.retry_after = *retry_after;
+                }
                 Fault::Late { by_ms, share } if is_hit(*share) => {
                     plan.lateness = Some(Duration::from_millis(*by_ms));
                 }
@@ -346,6 +364,7 @@
                 | Fault::Shed { .. }
                 | Fault::Late { .. }
                 | Fault::Crossed { .. }
+                | Fault::Leave {}
                 | Fault::SilentOpen {}
                 | Fault::Flap { .. }
                 | Fault::Refuse {}
--- a/crates/standin/src/backend/record.rs
+++ b/crates/standin/src/backend/record.rs
@@ -38,6 +38,33 @@
     pub state: State,
 }
 
+/// A request that reached a server, whether or not it began, and what its answer
+/// said about further requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Arrival {
+    /// `x-request-id`.
+    pub id: String,
+    /// Server number from 0.
+    pub server: usize,
+    /// When its head was read, in milliseconds since the start of the process.
+    pub at_ms: f64,
+    /// When its answer was written.
+    pub answered_ms: Option<f64>,
+    /// Whether the answer said that the server is leaving.
+    pub is_leaving: bool,
+    /// Time without requests that the answer asked for, in seconds.
+    pub retry_after: Option<f64>,
+}
+
+/// Answer of `GET /arrivals`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Arrivals {
+    /// Requests in the order in which they arrived.
+    pub arrivals: Vec<Arrival>,
+    /// Time of this answer, in milliseconds since the start of the process.
+    pub now_ms: f64,
+}
+
 /// Answer of `GET /record`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Page {
@@ -59,6 +86,7 @@
 pub struct Record {
     start: Instant,
     entries: Mutex<Entries>,
+    arrivals: Mutex<Vec<Arrival>>,
 }
 
 impl Record {
@@ -67,6 +95,7 @@
         Record {
             start,
             entries: Mutex::default(),
+            arrivals: Mutex::default(),
         }
     }
 
@@ -79,6 +108,42 @@
         self.start.elapsed().as_secs_f64() * 1e3
     }
 
+    /// Records the arrival of a request and returns its number.
+    pub fn arrive(&self, id: &str, server: usize) -> usize {
+        let mut arrivals = self.lock_arrivals();
+        arrivals.push(Arrival {
+            id: id.to_owned(),
+            server,
+            at_ms: self.elapsed_ms(),
+            answered_ms: None,
+            is_leaving: false,
+            retry_after: None,
+        });
+        arrivals.len() - 1
+    }
+
+    /// Records what the answer to the arrival `number` says. A request that
+    /// arrived before a reset is no longer listed.
+    pub fn answer(&self, number: usize, is_leaving: bool, retry_after: Option<f64>) {
+        if let Some(arrival) = self.lock_arrivals().get_mut(number) {
+            arrival.answered_ms = Some(self.elapsed_ms());
+            arrival.is_leaving = is_leaving;
+            arrival.retry_after = retry_after;
+        }
+    }
+
+    /// Returns the arrivals.
+    pub fn arrivals(&self) -> Arrivals {
+        Arrivals {
+            arrivals: self.lock_arrivals().clone(),
+            now_ms: self.elapsed_ms(),
+        }
+    }
+
+    fn lock_arrivals(&self) -> MutexGuard<'_, Vec<Arrival>> {
+        self.arrivals.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records the start of a request. It is recorded as cancelled if the
     /// returned value is dropped without a call of [`Begun::finish`].
     pub fn begin(
@@ -137,6 +202,7 @@
         let mut entries = self.lock();
         entries.base += entries.list.len() as u64;
         entries.list.clear();
+        self.lock_arrivals().clear();
     }
 }
 
--- a/crates/standin/src/backend/server.rs
+++ b/crates/standin/src/backend/server.rs
@@ -204,6 +204,11 @@
         connection < self.lock().silent_before
     }
 
+    /// Whether answers say that the server is leaving.
+    pub fn leaves(&self) -> bool {
+        self.lock().rules.leaves(Instant::now())
+    }
+
     /// Counts an answered probe.
     pub fn count_probe(&self) {
         self.lock().counters.probes += 1;
--- a/crates/standin/src/gateway.rs
+++ b/crates/standin/src/gateway.rs
@@ -9,7 +9,7 @@
 use error_stack::{Report, ResultExt};
 use serde_json::{Value, json};
 
-use crate::backend::record::Page;
+use crate::backend::record::{Arrival, Arrivals, Page};
 use crate::client;
 use crate::process::{Process, Ready, free_addresses};
 
@@ -81,6 +81,8 @@
     /// The daemons; `None` while a daemon is not running.
     pub hosts: Vec<Option<Process>>,
     version: u64,
+    /// Number of starts of each backend server, as its entry tells.
+    starts: Vec<u64>,
     next_request: u64,
 }
 
@@ -128,6 +130,7 @@
         }
         let directory = std::env::temp_dir().join(format!("dotterelhinge-{}", store.id()));
         fs::create_dir_all(&directory).change_context(Error)?;
+        let upstreams = settings.upstreams;
         let mut fleet = Fleet {
             store_address: store.listening().to_owned(),
             hosts: (0..settings.hosts).map(|_| None).collect(),
@@ -139,6 +142,7 @@
             relays: Vec::new(),
             store_relays: Vec::new(),
             version: 0,
+            starts: vec![1; upstreams],
             next_request: 0,
         };
         if fleet.settings.has_relays {
@@ -259,6 +263,12 @@
             .to_owned()
     }
 
+    /// Writes the entry of a new start of a backend server.
+    pub fn register_new_start(&mut self, index: usize) -> Result<()> {
+        self.starts[index] += 1;
+        self.register(index, "ready")
+    }
+
     /// Writes a backend server's entry in the store.
     pub fn register(&self, index: usize, state: &str) -> Result<()> {
         self.put_row(
@@ -268,6 +278,7 @@
                 "address": self.upstream(index),
                 "info": {"service": "desk", "version": "v1", "zone": format!("zone-{}", index % 2), "slots": 3},
                 "status": {"state": state, "seq": 1, "coldLeft": "0ms"},
+                "born": self.starts[index],
             }),
         )
     }
@@ -392,6 +403,16 @@
             .is_ok_and(|answer| answer.status == 200)
     }
 
+    /// Returns the requests that reached the backend servers, and the time at
+    /// which the servers started to count.
+    pub fn arrivals(&self) -> Result<(Vec<Arrival>, Instant)> {
+        let answer = client::get(self.backends.control(), "/arrivals").change_context(Error)?;
+        let arrivals: Arrivals = serde_json::from_slice(&answer.body).change_context(Error)?;
+        let elapsed = Duration::from_secs_f64(arrivals.now_ms / 1e3);
+        let now = Instant::now();
+        Ok((arrivals.arrivals, now.checked_sub(elapsed).unwrap_or(now)))
+    }
+
     /// Returns the requests that the backend servers began.
     pub fn record(&self) -> Result<Page> {
         let answer = client::get(self.backends.control(), "/record").change_context(Error)?;
--- a/crates/standin/src/soak/check.rs
+++ b/crates/standin/src/soak/check.rs
@@ -61,6 +61,23 @@
     pub until: Option<Instant>,
 }
 
+/// A new start of a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Start {
+    /// Number of the backend server.
+    pub upstream: usize,
+    /// When it started.
+    pub at: Instant,
+}
+
+/// Time after an answer within which requests that were under way still arrive.
+/// It is the bound for answers that ask for time; leaving has a longer one.
+const UNDER_WAY: Duration = Duration::from_millis(500);
+
+/// Requests that may reach a server from one host in the time for which the
+/// server asked for none.
+const MAX_UNWANTED: usize = 2;
+
 /// Observations of a run.
 #[derive(Debug)]
 pub struct Evidence {
@@ -72,6 +89,12 @@
     pub spans: Vec<Span>,
     /// Departures of backend servers.
     pub departures: Vec<Departure>,
+    /// New starts of backend servers that said that they are leaving.
+    pub starts: Vec<Start>,
+    /// Requests that reached the backend servers.
+    pub arrivals: Vec<record::Arrival>,
+    /// The time from which the times of arrivals count.
+    pub counted_from: Instant,
     /// Violations found by the final check, after the end of all faults.
     pub unserved: Vec<String>,
     /// Logs of the daemons that are running at the end.
@@ -126,9 +149,85 @@
                 .iter()
                 .filter_map(|left| self.late_request(left)),
         );
+        violations.extend(self.unwanted_requests());
+        violations
+    }
+
+    /// Returns a violation for each answer that said that its server is leaving,
+    /// or asked for time, and after which the host that got it sent requests.
+    fn unwanted_requests(&self) -> Vec<String> {
+        let sent: HashMap<&str, &Exchange> = self
+            .exchanges
+            .iter()
+            .map(|exchange| (&*exchange.id, exchange))
+            .collect();
+        let answers = self.arrivals.iter().filter_map(|arrival| {
+            let host = sent.get(&*arrival.id)?.host;
+            Some((arrival, host, self.at(arrival.answered_ms?)))
+        });
+        let mut violations = Vec::new();
+        for (answer, host, told_at) in answers {
+            let until = match answer.retry_after {
+                _ if answer.is_leaving => self.end_of_start(answer.server, told_at),
+                Some(seconds) => Some(told_at + Duration::from_secs_f64(seconds)),
+                None => continue,
+            };
+            let unwanted = self.arrivals.iter().filter(|arrival| {
+                let at = self.at(arrival.at_ms);
+                let Some(exchange) = sent.get(&*arrival.id) else {
+                    return false;
+                };
+                let is_late = if answer.is_leaving {
+                    exchange.sent > told_at + UNDER_WAY
+                } else {
+                    at > told_at + UNDER_WAY
+                };
+                let is_before = until.is_none_or(|until| at < until);
+                let span = Span {
+                    subject: Subject::Host(host),
+                    from: told_at,
+                    until: at,
+                };
+                arrival.server == answer.server
+                    && exchange.host == host
+                    && is_late
+                    && is_before
+                    && !span.overlaps_any(&self.spans, Some(host))
+            });
+            let count = unwanted.count();
+            if answer.is_leaving && count > 0 {
+                violations.push(format!(
+                    "server {} got {count} requests from host {host} after it said that it leaves",
+                    answer.server
+                ));
+            } else if count > MAX_UNWANTED {
+                violations.push(format!(
+                    "server {} got {count} requests from host {host} in the time for which it asked for none",
+                    answer.server
+                ));
+            }
+        }
         violations
     }
 
+    /// Returns the time of `ms` milliseconds of the servers' clock.
+    fn at(&self, ms: f64) -> Instant {
+        self.counted_from + Duration::from_secs_f64(ms / 1e3)
+    }
+
+    /// Returns when the start of a server that ran at `at` was followed by
+    /// another one.
+    fn end_of_start(&self, upstream: usize, at: Instant) -> Option<Instant> {
+        let starts = self
+            .starts
+            .iter()
+            .filter(|start| start.upstream == upstream);
+        starts
+            .map(|start| start.at)
+            .filter(|start| *start > at)
+            .min()
+    }
+
     fn check_exchange(&self, exchange: &Exchange, runs: usize) -> Option<String> {
         let is_once = matches!(exchange.kind, Kind::Order | Kind::Scan);
         let id = &exchange.id;
--- a/crates/standin/src/soak/plan.rs
+++ b/crates/standin/src/soak/plan.rs
@@ -13,6 +13,12 @@
 /// they overlap.
 const MAX_PAUSE: Duration = Duration::from_millis(1200);
 
+/// Longest pause between two steps in which servers say what they want.
+const MAX_WISH_PAUSE: Duration = Duration::from_secs(4);
+
+/// Distinguishes the random numbers of these steps from those of the others.
+const WISHES: u64 = 0x5eed;
+
 /// Size of a run.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -114,6 +120,24 @@
     },
     /// A route is added to the configuration.
     Configure,
+    /// A backend server says in all its answers that it is leaving, while its
+    /// entry stays ready; later it starts anew.
+    SayLeaving {
+        /// Number of the backend server.
+        upstream: usize,
+        /// Time until its new start.
+        duration: Duration,
+    },
+    /// A backend server turns some requests away and asks for time without
+    /// requests.
+    AskForTime {
+        /// Number of the backend server.
+        upstream: usize,
+        /// Time that each such answer asks for.
+        retry_after: Duration,
+        /// Time until it serves all requests again.
+        duration: Duration,
+    },
 }
 
 /// Returns the steps of a run with the times at which they begin. The same
@@ -126,9 +150,39 @@
         steps.push((at, step(settings, &mut rng)));
         at += MAX_PAUSE.mul_f64(rng.random_range(0.05..1.0));
     }
+    steps.extend(wishes(settings));
+    steps.sort_by_key(|(at, _)| *at);
     steps
 }
 
+/// Returns steps in which servers say what they want. They have a generator of
+/// their own, so that the other steps of a seed don't depend on them.
+fn wishes(settings: &Settings) -> Vec<(Duration, Step)> {
+    let mut rng = SmallRng::seed_from_u64(settings.seed ^ WISHES);
+    let mut at = WARM_UP;
+    let mut steps = Vec::new();
+    loop {
+        at += MAX_WISH_PAUSE.mul_f64(rng.random_range(0.1..1.0));
+        if at >= settings.length {
+            return steps;
+        }
+        let upstream = rng.random_range(0..settings.upstreams);
+        let step = if rng.random_bool(0.5) {
+            Step::SayLeaving {
+                upstream,
+                duration: Duration::from_millis(rng.random_range(2500..5000)),
+            }
+        } else {
+            Step::AskForTime {
+                upstream,
+                retry_after: Duration::from_millis(rng.random_range(600..4000)),
+                duration: Duration::from_millis(rng.random_range(200..2500)),
+            }
+        };
+        steps.push((at, step));
+    }
+}
+
 fn step(settings: &Settings, rng: &mut SmallRng) -> Step {
     let host = rng.random_range(0..settings.hosts);
     let upstream = rng.random_range(0..settings.upstreams);
--- a/crates/standin/src/soak/run.rs
+++ b/crates/standin/src/soak/run.rs
@@ -14,7 +14,7 @@
 use crate::gateway::{self, Fleet, eventually};
 use crate::process::Ready;
 use crate::soak::caller::{self, Shared};
-use crate::soak::check::{Departure, Evidence, Span, Subject};
+use crate::soak::check::{Departure, Evidence, Span, Start, Subject};
 use crate::soak::plan::{self, Step};
 
 /// The run could not be executed. It says nothing about the guarantees.
@@ -45,6 +45,7 @@
     ClearFault(usize),
     Register(usize),
     RecordDeparture(usize, Instant),
+    StartAnew(usize),
     AnnounceRoute(u64, Instant),
 }
 
@@ -59,6 +60,9 @@
     has_left: Vec<bool>,
     spans: Vec<Span>,
     departures: Vec<Departure>,
+    /// Whether each backend server says that it is leaving.
+    says_leaving: Vec<bool>,
+    starts: Vec<Start>,
 }
 
 /// Runs the plan of `settings` and returns the observations.
@@ -83,6 +87,8 @@
         has_left: vec![false; settings.upstreams],
         spans: Vec::new(),
         departures: Vec::new(),
+        says_leaving: vec![false; settings.upstreams],
+        starts: Vec::new(),
         fleet,
     };
     let (callers, seed) = (settings.callers, settings.seed);
@@ -98,12 +104,16 @@
     });
     let unserved = result?;
     let record = soak.fleet.record().change_context(Error)?;
+    let (arrivals, counted_from) = soak.fleet.arrivals().change_context(Error)?;
     let logs = soak.logs();
     Ok(Evidence {
         exchanges: shared.exchanges(),
         record: record.entries,
         spans: soak.spans,
         departures: soak.departures,
+        starts: soak.starts,
+        arrivals,
+        counted_from,
         unserved,
         logs,
     })
@@ -224,6 +234,20 @@
                 duration,
             } => self.leave(*upstream, *is_removed, *duration)?,
             Step::Configure => self.configure()?,
+            Step::SayLeaving { upstream, duration } => self.say_leaving(*upstream, *duration)?,
+            Step::AskForTime {
+                upstream,
+                retry_after,
+                duration,
+            } => {
+                let fault = json!({
+                    "kind": "shed", "share": 0.5, "retry_after": retry_after.as_secs_f64(),
+                });
+                self.fleet
+                    .set_fault(&[*upstream], &fault)
+                    .change_context(Error)?;
+                self.schedule(*duration, Action::ClearFault(*upstream));
+            }
         }
         Ok(())
     }
@@ -255,6 +279,20 @@
         Ok(())
     }
 
+    /// Has a server say that it is leaving, unless a third of them do already.
+    fn say_leaving(&mut self, upstream: usize, duration: Duration) -> Result<()> {
+        let leaving = self.says_leaving.iter().filter(|says| **says).count();
+        if self.says_leaving[upstream] || 3 * (leaving + 1) > self.says_leaving.len() {
+            return Ok(());
+        }
+        self.says_leaving[upstream] = true;
+        self.fleet
+            .set_fault(&[upstream], &json!({"kind": "leave"}))
+            .change_context(Error)?;
+        self.schedule(duration, Action::StartAnew(upstream));
+        Ok(())
+    }
+
     fn configure(&mut self) -> Result<()> {
         // The route's path contains the version that this write will get.
         let next = self.fleet.version() + gateway::VERSION_STEP;
@@ -308,7 +346,11 @@
                     departure.until = Some(Instant::now());
                 }
                 self.has_left[upstream] = false;
-                let written = self.fleet.register(upstream, "ready");
+                self.starts.push(Start {
+                    upstream,
+                    at: Instant::now(),
+                });
+                let written = self.fleet.register_new_start(upstream);
                 written.change_context(Error)?;
             }
             Action::RecordDeparture(upstream, from) => {
@@ -321,6 +363,22 @@
                     until: None,
                 });
             }
+            Action::StartAnew(upstream) => {
+                self.fleet
+                    .set_fault(&[upstream], &json!({"kind": "clear"}))
+                    .change_context(Error)?;
+                self.says_leaving[upstream] = false;
+                self.starts.push(Start {
+                    upstream,
+                    at: Instant::now(),
+                });
+                // A server that has left by its entry registers when it returns.
+                if !self.has_left[upstream] {
+                    self.fleet
+                        .register_new_start(upstream)
+                        .change_context(Error)?;
+                }
+            }
             Action::AnnounceRoute(version, from) => {
                 let announced = Span {
                     subject: Subject::Store,
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use dotterelhinge_standin::backend::record::{Entry, State};
+use dotterelhinge_standin::backend::record::{Arrival, Entry, State};
 use dotterelhinge_standin::soak::caller::{End, Exchange, Kind};
-use dotterelhinge_standin::soak::check::{Departure, Evidence, Span, Subject};
+use dotterelhinge_standin::soak::check::{Departure, Evidence, Span, Start, Subject};
 use dotterelhinge_standin::soak::run::BOUND;
 use dotterelhinge_standin::soak::{plan, run};
 use googletest::prelude::*;
@@ -51,7 +51,7 @@
             kinds.insert(text.split([' ', '{']).next().unwrap_or_default().to_owned());
         }
     }
-    expect_that!(kinds.len(), eq(11), "{kinds:?}");
+    expect_that!(kinds.len(), eq(13), "{kinds:?}");
 }
 
 struct Fixture {
@@ -79,6 +79,9 @@
         record: vec![entry(1, 0)],
         spans: Vec::new(),
         departures: Vec::new(),
+        starts: Vec::new(),
+        arrivals: Vec::new(),
+        counted_from: start,
         unserved: Vec::new(),
         logs: Vec::new(),
     };
@@ -178,3 +181,59 @@
     }];
     expect_that!(evidence.violations(), is_empty());
 }
+
+/// Evidence of one arrival at server 0 that was answered at once, and of others
+/// `later_ms` after it, all through host 0.
+fn with_arrivals(is_leaving: bool, retry_after: Option<f64>, later_ms: &[u64]) -> Evidence {
+    let Fixture {
+        mut evidence,
+        start,
+    } = fixture();
+    evidence.record.clear();
+    for (number, ms) in [0].iter().chain(later_ms).enumerate() {
+        let id = format!("order-{number}");
+        let sent = start + Duration::from_millis(*ms);
+        evidence.exchanges.push(Exchange {
+            id: id.clone(),
+            sent,
+            ended: sent,
+            ..evidence.exchanges[0].clone()
+        });
+        evidence.arrivals.push(Arrival {
+            id,
+            server: 0,
+            at_ms: *ms as f64,
+            answered_ms: Some(*ms as f64),
+            is_leaving: is_leaving && number == 0,
+            retry_after: retry_after.filter(|_| number == 0),
+        });
+    }
+    evidence
+}
+
+// Guards against requests that a server did not want and nobody notices.
+#[gtest]
+fn unwanted_requests_are_found() {
+    let mut evidence = with_arrivals(true, None, &[400, 900]);
+    let found = || contains_substring("got 1 requests from host 0 after it said");
+    expect_that!(evidence.violations(), elements_are![found()]);
+    evidence.starts.push(Start {
+        upstream: 0,
+        at: evidence.counted_from + Duration::from_millis(800),
+    });
+    expect_that!(evidence.violations(), is_empty());
+    evidence.starts[0].upstream = 1;
+    expect_that!(evidence.violations(), elements_are![found()]);
+
+    let evidence = with_arrivals(false, Some(2.0), &[400, 600, 700, 2100]);
+    expect_that!(evidence.violations(), is_empty());
+    let mut evidence = with_arrivals(false, Some(2.0), &[600, 700, 1900]);
+    let found = contains_substring("got 3 requests from host 0 in the time");
+    expect_that!(evidence.violations(), elements_are![found]);
+    evidence.spans = vec![Span {
+        subject: Subject::Host(0),
+        from: evidence.counted_from + Duration::from_millis(100),
+        until: evidence.counted_from + Duration::from_millis(200),
+    }];
+    expect_that!(evidence.violations(), is_empty());
+}
