--- a/crates/standin/tests/endless.rs
+++ b/crates/standin/tests/endless.rs
@@ -2,15 +2,17 @@
 //! daemon holds in memory.
 
 use std::{
-    io::{Read, Write},
-    net::{TcpListener, TcpStream},
+    io::{self, Read, Write},
+    net::TcpStream,
     thread,
     time::{Duration, Instant},
 };
 
-use dotterelhinge_standin::gateway::{Fleet, Settings, eventually};
+use dotterelhinge_standin::{
+    gateway::{Fleet, Settings, eventually},
+    scripted,
+};
 use googletest::prelude::*;
-use serde_json::json;
 
 /// Deadline of each request, in milliseconds.
 const DEADLINE_MS: u64 = 1500;
@@ -52,29 +54,17 @@
         ..Settings::default()
     })
     .unwrap_or_else(|error| panic!("{error:?}"));
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let entry = json!({
-        "address": listener.local_addr().unwrap().to_string(),
-        "info": {"service": "desk", "version": "v1", "zone": "zone-0", "slots": 3},
-        "status": {"state": "ready", "seq": 1, "coldLeft": "0ms"},
-    });
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            thread::spawn(move || answer(stream, endless));
-        }
-    });
+    let server = scripted::Server::start(move |connection| answer(connection, endless)).unwrap();
     fleet.unregister(0).unwrap();
-    fleet.put_row("servers", "endless", &entry).unwrap();
+    fleet
+        .put_row("servers", "endless", &server.entry("ready"))
+        .unwrap();
     fleet
 }
 
 /// Reads the head of a request and answers until the connection is closed.
-fn answer(mut stream: TcpStream, endless: Endless) {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") && matches!(stream.read(&mut byte), Ok(1)) {
-        head.push(byte[0]);
-    }
+fn answer(connection: &mut scripted::Connection, endless: Endless) -> io::Result<()> {
+    connection.read_head()?;
     let ok = "HTTP/1.1 200 OK\r\nx-server-stamp: s\r\n";
     let chunked = "transfer-encoding: chunked\r\n\r\n";
     let (start, repeated) = match endless {
@@ -89,8 +79,10 @@
             "a: b\r\n".to_owned(),
         ),
     };
-    let _ = stream.write_all(start.as_bytes());
-    while stream.write_all(repeated.as_bytes()).is_ok() {}
+    connection.socket.write_all(start.as_bytes())?;
+    loop {
+        connection.socket.write_all(repeated.as_bytes())?;
+    }
 }
 
 /// Sends a request to the daemon and returns all bytes of its answer until the
