Soak: count only answers that the host certainly got

The rule binds a machine from an answer that it has passed on, so the request that came later is allowed.

Change: an answer counts if the host passed it on, or if the link to its server was undisturbed while the attempt ran. Violations name the requests.

--- a/crates/standin/src/soak/check.rs
+++ b/crates/standin/src/soak/check.rs
@@ -70,6 +70,17 @@
     pub at: Instant,
 }
 
+/// Time span in which the link to a backend server was frozen, closed or slow.
+#[derive(Clone, Copy, Debug)]
+pub struct Link {
+    /// Number of the backend server.
+    pub upstream: usize,
+    /// When it began.
+    pub from: Instant,
+    /// When it ended.
+    pub until: Instant,
+}
+
 /// Time after an answer within which requests that were under way still arrive.
 /// It is the bound for answers that ask for time; leaving has a longer one.
 const UNDER_WAY: Duration = Duration::from_millis(500);
@@ -91,13 +102,15 @@
     pub departures: Vec<Departure>,
     /// New starts of backend servers that said that they are leaving.
     pub starts: Vec<Start>,
+    /// Disturbances of the links to backend servers.
+    pub links: Vec<Link>,
     /// Requests that reached the backend servers.
     pub arrivals: Vec<record::Arrival>,
     /// The time from which the times of arrivals count.
     pub counted_from: Instant,
     /// Violations found by the final check, after the end of all faults.
     pub unserved: Vec<String>,
-    /// Logs of the daemons that are running at the end.
+    /// Logs of the daemons.
     pub logs: Vec<String>,
 }
 
@@ -162,8 +175,11 @@
             .map(|exchange| (&*exchange.id, exchange))
             .collect();
         let answers = self.arrivals.iter().filter_map(|arrival| {
-            let host = sent.get(&*arrival.id)?.host;
-            Some((arrival, host, self.at(arrival.answered_ms?)))
+            let says_something = arrival.is_leaving || arrival.retry_after.is_some();
+            let exchange = sent.get(&*arrival.id).filter(|_| says_something)?;
+            let told_at = self.at(arrival.answered_ms?);
+            self.was_heard(arrival, exchange)
+                .then_some((arrival, exchange.host, told_at))
         });
         let mut violations = Vec::new();
         for (answer, host, told_at) in answers {
@@ -194,22 +210,41 @@
                     && is_before
                     && !span.overlaps_any(&self.spans, Some(host))
             });
-            let count = unwanted.count();
+            let ids: Vec<&str> = unwanted.map(|arrival| &*arrival.id).collect();
+            let (server, count, told) = (answer.server, ids.len(), &answer.id);
             if answer.is_leaving && count > 0 {
                 violations.push(format!(
-                    "server {} got {count} requests from host {host} after it said that it leaves",
-                    answer.server
+                    "server {server} got {count} requests from host {host} after it said to {told} that it leaves: {}",
+                    ids.join(" ")
                 ));
             } else if count > MAX_UNWANTED {
                 violations.push(format!(
-                    "server {} got {count} requests from host {host} in the time for which it asked for none",
-                    answer.server
+                    "server {server} got {count} requests from host {host} in the time for which it asked {told} for none: {}",
+                    ids.join(" ")
                 ));
             }
         }
         violations
     }
 
+    /// Returns whether the host certainly got the answer to `arrival`: it passed it
+    /// on, or the link was undisturbed meanwhile. On a frozen link it may have given
+    /// the attempt up before the answer came.
+    fn was_heard(&self, arrival: &record::Arrival, exchange: &Exchange) -> bool {
+        let mut attempts = self.arrivals.iter().filter(|other| other.id == arrival.id);
+        let is_last = attempts.next_back() == Some(arrival);
+        let is_answered = matches!(exchange.end, End::Answered { status: 200, .. });
+        if is_last && is_answered && arrival.retry_after.is_none() {
+            return true;
+        }
+        let from = self.at(arrival.at_ms);
+        let until = self.at(arrival.answered_ms.unwrap_or(arrival.at_ms));
+        let is_disturbed = |link: &Link| {
+            link.upstream == arrival.server && link.from <= until && from <= link.until
+        };
+        !self.links.iter().any(is_disturbed)
+    }
+
     /// Returns the time of `ms` milliseconds of the servers' clock.
     fn at(&self, ms: f64) -> Instant {
         self.counted_from + Duration::from_secs_f64(ms / 1e3)
--- a/crates/standin/src/soak/run.rs
+++ b/crates/standin/src/soak/run.rs
@@ -14,7 +14,7 @@
 use crate::gateway::{self, Fleet, eventually};
 use crate::process::Ready;
 use crate::soak::caller::{self, Shared};
-use crate::soak::check::{Departure, Evidence, Span, Start, Subject};
+use crate::soak::check::{Departure, Evidence, Link, Span, Start, Subject};
 use crate::soak::plan::{self, Step};
 
 /// The run could not be executed. It says nothing about the guarantees.
@@ -60,9 +60,12 @@
     has_left: Vec<bool>,
     spans: Vec<Span>,
     departures: Vec<Departure>,
+    /// Logs of each daemon's processes that have ended.
+    past_logs: Vec<String>,
     /// Whether each backend server says that it is leaving.
     says_leaving: Vec<bool>,
     starts: Vec<Start>,
+    links: Vec<Link>,
 }
 
 /// Runs the plan of `settings` and returns the observations.
@@ -87,8 +90,10 @@
         has_left: vec![false; settings.upstreams],
         spans: Vec::new(),
         departures: Vec::new(),
+        past_logs: vec![String::new(); settings.hosts],
         says_leaving: vec![false; settings.upstreams],
         starts: Vec::new(),
+        links: Vec::new(),
         fleet,
     };
     let (callers, seed) = (settings.callers, settings.seed);
@@ -112,6 +117,7 @@
         spans: soak.spans,
         departures: soak.departures,
         starts: soak.starts,
+        links: soak.links,
         arrivals,
         counted_from,
         unserved,
@@ -255,6 +261,7 @@
     fn kill(&mut self, host: usize, downtime: Duration) {
         let now = Instant::now();
         if let Some(process) = self.fleet.hosts[host].take() {
+            self.past_logs[host].push_str(&process.output());
             process.kill();
             self.is_stopping[host] = false;
             self.schedule(downtime, Action::Start(host));
@@ -311,6 +318,7 @@
                     return Ok(());
                 };
                 if process.exit_status().is_some() {
+                    self.past_logs[host].push_str(&process.output());
                     self.is_stopping[host] = false;
                     self.start(host)?;
                 } else {
@@ -333,8 +341,13 @@
             Action::OpenLink(upstream, from) => {
                 let open = json!({"forward": "open", "backward": "open", "delay_ms": 0});
                 self.fleet.set_link(upstream, &open).change_context(Error)?;
-                if upstream.is_none() {
-                    self.end_span(Subject::Store, from);
+                match upstream {
+                    None => self.end_span(Subject::Store, from),
+                    Some(upstream) => self.links.push(Link {
+                        upstream,
+                        from,
+                        until: Instant::now(),
+                    }),
                 }
             }
             Action::ClearFault(upstream) => self
@@ -452,7 +465,12 @@
     }
 
     fn logs(&self) -> Vec<String> {
-        let processes = self.fleet.hosts.iter().flatten();
-        processes.map(|process| process.output()).collect()
+        let output = |host: usize| {
+            let process = self.fleet.hosts[host].as_ref();
+            process.map(|process| process.output()).unwrap_or_default()
+        };
+        let past = self.past_logs.iter().enumerate();
+        past.map(|(host, past)| format!("{past}{}", output(host)))
+            .collect()
     }
 }
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -4,7 +4,7 @@
 
 use dotterelhinge_standin::backend::record::{Arrival, Entry, State};
 use dotterelhinge_standin::soak::caller::{End, Exchange, Kind};
-use dotterelhinge_standin::soak::check::{Departure, Evidence, Span, Start, Subject};
+use dotterelhinge_standin::soak::check::{Departure, Evidence, Link, Span, Start, Subject};
 use dotterelhinge_standin::soak::run::BOUND;
 use dotterelhinge_standin::soak::{plan, run};
 use googletest::prelude::*;
@@ -80,6 +80,7 @@
         spans: Vec::new(),
         departures: Vec::new(),
         starts: Vec::new(),
+        links: Vec::new(),
         arrivals: Vec::new(),
         counted_from: start,
         unserved: Vec::new(),
@@ -215,7 +216,7 @@
 #[gtest]
 fn unwanted_requests_are_found() {
     let mut evidence = with_arrivals(true, None, &[400, 900]);
-    let found = || contains_substring("got 1 requests from host 0 after it said");
+    let found = || contains_substring("after it said to order-0 that it leaves: order-2");
     expect_that!(evidence.violations(), elements_are![found()]);
     evidence.starts.push(Start {
         upstream: 0,
@@ -225,10 +226,26 @@
     evidence.starts[0].upstream = 1;
     expect_that!(evidence.violations(), elements_are![found()]);
 
+    // An answer on a disturbed link counts only if it was passed on.
+    evidence.links = vec![Link {
+        upstream: 0,
+        from: evidence.counted_from,
+        until: evidence.counted_from,
+    }];
+    expect_that!(evidence.violations(), elements_are![found()]);
+    let elsewhere = Arrival {
+        server: 1,
+        ..evidence.arrivals[0].clone()
+    };
+    evidence.arrivals.insert(1, elsewhere);
+    expect_that!(evidence.violations(), is_empty());
+    evidence.links.clear();
+    expect_that!(evidence.violations(), elements_are![found()]);
+
     let evidence = with_arrivals(false, Some(2.0), &[400, 600, 700, 2100]);
     expect_that!(evidence.violations(), is_empty());
     let mut evidence = with_arrivals(false, Some(2.0), &[600, 700, 1900]);
-    let found = contains_substring("got 3 requests from host 0 in the time");
+    let found = contains_substring("for which it asked order-0 for none: order-1 order-2 order-3");
     expect_that!(evidence.violations(), elements_are![found]);
     evidence.spans = vec![Span {
         subject: Subject::Host(0),
