--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -172,9 +172,13 @@
 async fn show_copy(shared: web::Data<Shared>, versions: web::Query<Versions>) -> HttpResponse {
     match shared.copy(versions.into_inner()) {
         None => HttpResponse::ServiceUnavailable().finish(),
-        Some(Ok(bytes)) => HttpResponse::Ok()
-            .content_type("application/msgpack")
-            .body(bytes),
+        Some(Ok(bytes)) => {
+            shared.metrics.copies_served.increment();
+            shared.metrics.copy_bytes_served.add(bytes.len() as u64);
+            HttpResponse::Ok()
+                .content_type("application/msgpack")
+                .body(bytes)
+        }
         Some(Err(error)) => {
             log::error!(event = "copy_not_encoded", error = error.to_string(); "copy of the catalog can't be encoded");
             HttpResponse::InternalServerError().finish()
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,6 +20,7 @@
         aggregate::{Aggregate, Audience, Part},
         report::{Count, MAX_INTRODUCTIONS, Report, Scope},
     },
+    replica,
     replication::Fetcher,
 };
 
@@ -225,6 +226,12 @@
         self.host.shared.publish_hosts(members.hosts());
         let replica = self.host.replica.borrow();
         let freshness = replica.freshness(now);
+        let metrics = &self.host.metrics;
+        metrics.list_version.set(freshness.upstreams);
+        let age = replica
+            .upstreams_age(now)
+            .unwrap_or(now - self.host.started);
+        metrics.list_age_ms.set(age.as_millis() as u64);
         self.host
             .shared
             .publish_catalog(replica.catalog(), freshness, now);
@@ -432,7 +439,15 @@
             return;
         }
         let bytes = match report.encode() {
-            Ok(bytes) => bytes,
+            Ok((bytes, has_delta)) => {
+                if let Some(delta) = &report.delta
+                    && !has_delta
+                {
+                    self.host.metrics.list_deltas_unsent.increment();
+                    log::warn!(event = "delta_not_sent", base = delta.base, version = delta.version, changes = delta.changes.len(), receivers = to.len(); "change of the list of backend servers is too large for a report; its receivers have to fetch the list");
+                }
+                bytes
+            }
             Err(error) => {
                 log::error!(event = "report_not_encoded", error = error.to_string(); "failed to encode a report");
                 return;
@@ -472,12 +487,16 @@
     /// origin's copy fetched if it is newer.
     fn update_replica(&mut self, now: Instant, report: &Report) {
         let mut replica = self.host.replica.borrow_mut();
+        let known = replica.freshness(now).upstreams;
         let is_changed = report
             .delta
             .as_ref()
             .is_some_and(|delta| replica.apply_delta(now, delta));
         let is_behind = replica.compare(now, &report.freshness);
         drop(replica);
+        if let Some(delta) = &report.delta {
+            self.log_delta(now, report.origin(), delta, known, is_changed);
+        }
         if is_changed {
             self.host.catalog_changed();
             if report.scope == Scope::Host
@@ -500,6 +519,32 @@
         }
     }
 
+    /// Logs and counts a change of the list that another host reported when this
+    /// host's list had the version `known`.
+    fn log_delta(
+        &self,
+        now: Instant,
+        from: Ipv4Addr,
+        delta: &replica::Delta,
+        known: u64,
+        is_applied: bool,
+    ) {
+        let metrics = &self.host.metrics;
+        if is_applied {
+            metrics.list_deltas.increment();
+        } else if delta.version > known {
+            metrics.list_deltas_unfit.increment();
+        }
+        if let Some(left_out) = self.host.log_limits.list.admit(now) {
+            let event = if is_applied {
+                "delta_applied"
+            } else {
+                "delta_ignored"
+            };
+            log::info!(event = event, from = from.to_string(), base = delta.base, version = delta.version, known = known, changes = delta.changes.len(), left_out = left_out; "change of the list of backend servers reported by a daemon");
+        }
+    }
+
     /// Takes a report's evidence into account. Returns `false` if the report
     /// must be dropped; see [`Members::record`].
     ///
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -36,6 +36,10 @@
 /// trusted.
 const MAX_SUSPICION_LINES: u32 = 20;
 
+/// Maximum log lines per second about changes of the list of backend servers
+/// that other daemons reported.
+const MAX_LIST_LINES: u32 = 20;
+
 /// Rate limits of the log by kind of event. Failures have a limit of their own,
 /// so that successes never displace them.
 #[derive(Debug)]
@@ -46,6 +50,8 @@
     pub failure: logging::Limiter,
     /// Backend servers that become suspected or trusted.
     pub suspicion: logging::Limiter,
+    /// Changes of the list of backend servers that other daemons reported.
+    pub list: logging::Limiter,
 }
 
 /// Updates that wait to be reported to other hosts.
@@ -151,6 +157,7 @@
                 success: logging::Limiter::new(MAX_SUCCESS_LINES),
                 failure: logging::Limiter::new(MAX_FAILURE_LINES),
                 suspicion: logging::Limiter::new(MAX_SUSPICION_LINES),
+                list: logging::Limiter::new(MAX_LIST_LINES),
             },
             shutdown: Cell::new(None),
             serving: Cell::new(0),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,7 +29,12 @@
 impl Counter {
     /// Adds one.
     pub fn increment(&self) {
-        self.0.fetch_add(1, Ordering::Relaxed);
+        self.add(1);
+    }
+
+    /// Adds `amount`.
+    pub fn add(&self, amount: u64) {
+        self.0.fetch_add(amount, Ordering::Relaxed);
     }
 
     /// Returns the current value.
@@ -95,6 +100,24 @@
     pub memory_refused: Counter,
     /// Answers streamed early because their beginning found no memory.
     pub memory_streamed: Counter,
+    /// Changes of the list of backend servers adopted from other daemons' reports.
+    pub list_deltas: Counter,
+    /// Changes of the list that did not fit this host's list.
+    pub list_deltas_unfit: Counter,
+    /// Changes of the list that were too large for a report.
+    pub list_deltas_unsent: Counter,
+    /// Copies of the catalog fetched from other daemons.
+    pub copies_fetched: Counter,
+    /// Copies of the catalog that could not be fetched.
+    pub copies_failed: Counter,
+    /// Copies of the catalog given to other daemons.
+    pub copies_served: Counter,
+    /// Bytes of the copies given to other daemons.
+    pub copy_bytes_served: Counter,
+    /// Store version of the list of backend servers.
+    pub list_version: Gauge,
+    /// Age of the newest proof that the list is current, in milliseconds.
+    pub list_age_ms: Gauge,
     /// Bytes that bodies in flight hold.
     pub memory_held: Gauge,
     /// Most bytes that bodies in flight have held at a time.
@@ -174,6 +197,13 @@
             ("overloaded", &self.overloaded),
             ("memory_refused", &self.memory_refused),
             ("memory_streamed", &self.memory_streamed),
+            ("list_deltas", &self.list_deltas),
+            ("list_deltas_unfit", &self.list_deltas_unfit),
+            ("list_deltas_unsent", &self.list_deltas_unsent),
+            ("copies_fetched", &self.copies_fetched),
+            ("copies_failed", &self.copies_failed),
+            ("copies_served", &self.copies_served),
+            ("copy_bytes_served", &self.copy_bytes_served),
         ];
         let mut text = String::new();
         for (name, counter) in counters {
@@ -184,6 +214,8 @@
         let gauges = [
             ("memory_held_bytes", &self.memory_held),
             ("memory_peak_bytes", &self.memory_peak),
+            ("list_version", &self.list_version),
+            ("list_age_ms", &self.list_age_ms),
         ];
         for (name, gauge) in gauges {
             let name = format!("dotterelhinge_{name}");
--- a/crates/gateway/src/peer/report.rs
+++ b/crates/gateway/src/peer/report.rs
@@ -109,16 +109,16 @@
     }
 
     /// Encodes the report, without its delta if it would exceed
-    /// [`MAX_DATAGRAM_BYTES`].
-    pub fn encode(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    /// [`MAX_DATAGRAM_BYTES`]. Returns also whether it has its delta.
+    pub fn encode(&self) -> Result<(Vec<u8>, bool), rmp_serde::encode::Error> {
         let bytes = rmp_serde::to_vec(self)?;
         if bytes.len() <= MAX_DATAGRAM_BYTES || self.delta.is_none() {
-            return Ok(bytes);
+            return Ok((bytes, self.delta.is_some()));
         }
         let without_delta = Self {
             delta: None,
             ..self.clone()
         };
-        rmp_serde::to_vec(&without_delta)
+        Ok((rmp_serde::to_vec(&without_delta)?, false))
     }
 }
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -397,7 +397,8 @@
     let copy = match client::fetch(client, address, host.settings.peer_port, versions).await {
         Ok(copy) => copy,
         Err(error) => {
-            log::warn!(event = "copy_not_fetched", peer = address.to_string(), error = format!("{error:?}"); "copy of the catalog could not be fetched");
+            host.metrics.copies_failed.increment();
+            log::warn!(event = "copy_not_fetched", peer = address.to_string(), taken_ms = host.now().saturating_duration_since(started).as_millis() as u64, error = format!("{error:?}"); "copy of the catalog could not be fetched");
             return;
         }
     };
@@ -412,12 +413,14 @@
         .upstreams
         .is_some_and(|list| replica.replace_upstreams(now, list));
     replica.compare(started, &copy.freshness);
+    let list_age = replica.upstreams_age(now).unwrap_or_default();
     drop(replica);
+    host.metrics.copies_fetched.increment();
     // A daemon that has just started sends an empty list.
     if !copy.hosts.is_empty() {
         host.members.borrow_mut().add_list(now, copy.hosts);
     }
-    log::info!(event = "copy_fetched", peer = address.to_string(), configuration = configured, upstreams = replaced; "copy of the catalog fetched from a daemon");
+    log::info!(event = "copy_fetched", peer = address.to_string(), configuration = configured, upstreams = replaced, version = copy.freshness.upstreams, list_age_ms = list_age.as_millis() as u64, taken_ms = now.saturating_duration_since(started).as_millis() as u64; "copy of the catalog fetched from a daemon");
     if configured || replaced {
         host.catalog_changed();
     }
