Test, failing: servers that drain in large groups still get requests

144 daemons on loopback, half of them in each zone, each with a twentieth of a core by turns of SIGSTOP and SIGCONT, and 1,000 backend servers of which ten groups of 50 begin to drain, a second apart.

--- a/crates/standin/src/gateway.rs
+++ b/crates/standin/src/gateway.rs
@@ -173,9 +173,7 @@
                 fleet.store_relays.push(relay);
             }
         }
-        for index in 0..fleet.settings.upstreams {
-            fleet.register(index, "ready")?;
-        }
+        fleet.register_all(0..fleet.settings.upstreams, "ready")?;
         fleet.configure(&json!({}))?;
         for host in 0..fleet.settings.hosts {
             fleet.start_host(host)?;
@@ -313,16 +311,31 @@
 
     /// Writes a backend server's entry in the store.
     pub fn register(&self, index: usize, state: &str) -> Result<()> {
-        self.put_row(
-            "servers",
-            &format!("backend-{index}"),
-            &json!({
+        self.register_all([index], state)
+    }
+
+    /// Writes the entries of several backend servers in the store at once.
+    pub fn register_all(
+        &self,
+        indexes: impl IntoIterator<Item = usize>,
+        state: &str,
+    ) -> Result<()> {
+        let entry = |index: usize| {
+            json!({
                 "address": self.upstream(index),
                 "info": {"service": "desk", "version": "v1", "zone": format!("zone-{}", index % 2), "slots": 3},
                 "status": {"state": state, "seq": 1, "coldLeft": "0ms"},
                 "born": self.starts[index],
-            }),
-        )
+            })
+        };
+        let puts: Vec<Value> = indexes
+            .into_iter()
+            .map(|index| {
+                let key = format!("backend-{index}");
+                json!({"table": "servers", "key": key, "json": entry(index)})
+            })
+            .collect();
+        self.control("/control/transact", &json!({"puts": puts}))
     }
 
     /// Removes a backend server's entry from the store.
