Send changes of many servers in parts; fetch changes, not the list

Cause: a report whose delta exceeded 1,400 bytes, that is about 15 servers, was sent without it. Each host then fetched the whole list from its zone's aggregator, some 110 KB to each of 73 hosts for each change, gave up after 800 ms and began anew, and read the store by itself when its proof was 3 s old, which is the bound. A delta that did fit was ignored unless the list had exactly its base, so a host that had missed one change could apply none.

Change: a delta travels in as many datagrams as it needs and is applied once all parts have arrived (peer::fragment). It applies to any version from its base on, since each change has the whole entry. A host that still lacks changes after 100 ms fetches those since its version from a bounded history, not the list; hosts that have a list of hosts aren't sent it again. An aggregator that fetched changes tells its hosts. The time since a host is behind no longer starts anew with each report of a host that is behind as well.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -16,9 +16,10 @@
 
 use crate::{
     catalog::Catalog,
+    history::History,
     metrics,
     peer::client::{COPY_PATH, Snapshot, Versions},
-    replica::{Freshness, Proof},
+    replica::{Freshness, Proof, Replica},
     store,
 };
 
@@ -31,6 +32,7 @@
 #[derive(Clone, Debug)]
 struct Published {
     catalog: Catalog,
+    history: Arc<History>,
     freshness: Freshness,
     at: Instant,
     hosts: Vec<store::Host>,
@@ -69,9 +71,8 @@
         self.ready.load(Ordering::Acquire)
     }
 
-    /// Makes the catalog available to other daemons. `freshness` holds at the
-    /// time `at`.
-    pub fn publish_catalog(&self, catalog: &Catalog, freshness: Freshness, at: Instant) {
+    /// Makes the copy `replica` available to other daemons as it is at `now`.
+    pub fn publish_catalog(&self, replica: &Replica, now: Instant) {
         let mut published = self
             .published
             .lock()
@@ -81,9 +82,10 @@
             .map(|published| published.hosts)
             .unwrap_or_default();
         *published = Some(Published {
-            catalog: catalog.clone(),
-            freshness,
-            at,
+            catalog: replica.catalog().clone(),
+            history: Arc::clone(replica.history()),
+            freshness: replica.freshness(now),
+            at: now,
             hosts,
         });
     }
@@ -119,13 +121,24 @@
         if versions.configuration == freshness.configuration {
             catalog.configuration = None;
         }
+        let mut changes = None;
         if versions.digest == freshness.digest {
             catalog.upstreams = None;
+        } else if versions.upstreams > 0 {
+            changes = published.history.since(versions.upstreams);
+        }
+        if changes.is_some() {
+            catalog.upstreams = None;
+        }
+        let mut hosts = published.hosts;
+        if versions.has_hosts {
+            hosts.clear();
         }
         Some(rmp_serde::to_vec(&Snapshot {
             catalog,
             freshness,
-            hosts: published.hosts,
+            hosts,
+            changes,
         }))
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,10 +17,11 @@
 use crate::{
     host::Host,
     peer::{
-        aggregate::{Aggregate, Audience, Part},
+        aggregate::{self, Aggregate, Audience},
+        fragment::{self, Assembly, Part},
         report::{Count, MAX_INTRODUCTIONS, Report, Scope},
     },
-    replica,
+    replica::{Delta, Freshness},
     replication::Fetcher,
 };
 
@@ -60,9 +61,30 @@
 /// the aggregator to fetch.
 const REMOTE_FETCH_DELAY: Duration = Duration::from_millis(400);
 
+/// Time for which changes of the list that another host already has may still
+/// arrive by themselves, after which they are fetched. An aggregator sends them
+/// at once, in several datagrams.
+const LIST_FETCH_DELAY: Duration = Duration::from_millis(100);
+
 /// Maximum datagrams that are read before the timers are checked again.
 const MAX_BURST: usize = 32;
 
+/// Versions of the catalog that other hosts have and this one lacks.
+#[derive(Clone, Copy, Debug)]
+struct Lacking {
+    configuration: u64,
+    upstreams: u64,
+    /// When the first of them was heard of.
+    since: Instant,
+}
+
+impl Lacking {
+    /// Returns whether a copy with the versions `own` lacks nothing.
+    fn is_met_by(&self, own: &Freshness) -> bool {
+        own.configuration >= self.configuration && own.upstreams >= self.upstreams
+    }
+}
+
 /// The task that exchanges reports with other daemons.
 pub(crate) struct Exchange {
     host: Rc<Host>,
@@ -75,8 +97,6 @@
     /// outcomes.
     aggregator: Ipv4Addr,
     aggregate: Aggregate,
-    /// Whether this host sends digests.
-    is_aggregating: bool,
     /// Requests in flight as last reported.
     reported_in_use: Vec<Count>,
     /// When collected updates are sent.
@@ -89,8 +109,10 @@
     list_count: u32,
     /// When the last check was made, by the clock and by the machine's uptime.
     last_check: Option<(Instant, Duration)>,
-    /// Since when another host is known to have a newer copy of the catalog.
-    behind_since: Option<Instant>,
+    /// Changes of the list of backend servers of which some parts have arrived.
+    assembly: Assembly,
+    /// What other hosts have and this one lacks.
+    lacking: Option<Lacking>,
     /// Versions of the configuration and of the list of backend servers as last
     /// sent.
     sent_versions: (u64, u64),
@@ -109,7 +131,6 @@
             incarnation: rand::random(),
             sequence: 0,
             aggregate: Aggregate::default(),
-            is_aggregating: false,
             reported_in_use: Vec::new(),
             due: None,
             last_periodic: None,
@@ -118,7 +139,8 @@
             last_list: None,
             list_count: 0,
             last_check: None,
-            behind_since: None,
+            assembly: Assembly::default(),
+            lacking: None,
             sent_versions: (0, 0),
         }
     }
@@ -170,7 +192,7 @@
         let now = self.host.now();
         let wait = if self.host.outbox.borrow().urgent {
             Duration::ZERO
-        } else if self.is_aggregating {
+        } else if self.host.is_aggregating.get() {
             ZONE_DIGEST_INTERVAL.mul_f64(self.slowdown(now))
         } else {
             REPORT_DELAY
@@ -225,16 +247,13 @@
         let members = self.host.members.borrow();
         self.host.shared.publish_hosts(members.hosts());
         let replica = self.host.replica.borrow();
-        let freshness = replica.freshness(now);
         let metrics = &self.host.metrics;
-        metrics.list_version.set(freshness.upstreams);
+        metrics.list_version.set(replica.list_version());
         let age = replica
             .upstreams_age(now)
             .unwrap_or(now - self.host.started);
         metrics.list_age_ms.set(age.as_millis() as u64);
-        self.host
-            .shared
-            .publish_catalog(replica.catalog(), freshness, now);
+        self.host.shared.publish_catalog(&replica, now);
     }
 
     /// Discards the proofs that the copy of the catalog is current if the process
@@ -265,10 +284,10 @@
             log::info!(event = "aggregator", host = self.aggregator.to_string(); "aggregator of this host's reports changed");
             self.change_aggregator(previous);
         }
-        if self.is_aggregating && !is_aggregating {
+        if self.host.is_aggregating.get() && !is_aggregating {
             self.aggregate.discard();
         }
-        self.is_aggregating = is_aggregating;
+        self.host.is_aggregating.set(is_aggregating);
     }
 
     /// Withdraws this host's own requests in flight from its own aggregate, if
@@ -288,6 +307,9 @@
     /// aggregator.
     fn report(&mut self, now: Instant) {
         let outbox = self.host.outbox.take();
+        let delta = outbox
+            .changed_since
+            .and_then(|version| self.host.replica.borrow().history().since(version));
         let in_use = self.host.evidence.borrow().in_use();
         if self.aggregator == self.host.settings.address {
             for observation in &outbox.outcomes {
@@ -296,7 +318,7 @@
             self.aggregate
                 .replace_counts(&self.reported_in_use, &in_use);
             self.reported_in_use = in_use;
-            if let Some(delta) = outbox.delta {
+            if let Some(delta) = delta {
                 self.send_delta(now, &delta);
             }
             return;
@@ -305,7 +327,13 @@
         let is_changed = in_use != self.reported_in_use;
         let freshness = self.host.replica.borrow().freshness(now);
         let versions = (freshness.configuration, freshness.upstreams);
-        let has_updates = !outbox.outcomes.is_empty() || outbox.delta.is_some() || is_changed;
+        if let Some(delta) = &delta {
+            if self.host.is_aggregating.get() {
+                self.send_delta(now, delta);
+            }
+            self.send_parts(now, Scope::Host, delta, &[self.aggregator]);
+        }
+        let has_updates = !outbox.outcomes.is_empty() || is_changed;
         if !is_periodic && !has_updates && versions == self.sent_versions {
             return;
         }
@@ -313,7 +341,6 @@
         let mut report = self.new_report(now, Scope::Host);
         report.in_use = (is_periodic || is_changed).then(|| in_use.clone());
         report.outcomes = outbox.outcomes;
-        report.delta = outbox.delta;
         if is_periodic {
             self.last_periodic = Some(now);
             report.hello = Some(self.host.members.borrow().own_hello().clone());
@@ -340,7 +367,7 @@
     }
 
     fn send_digests(&mut self, now: Instant) {
-        if !self.is_aggregating {
+        if !self.host.is_aggregating.get() {
             return;
         }
         let slowdown = self.slowdown(now);
@@ -382,7 +409,13 @@
         }
     }
 
-    fn send_digest(&mut self, now: Instant, scope: Scope, parts: Vec<Part>, to: &[Ipv4Addr]) {
+    fn send_digest(
+        &mut self,
+        now: Instant,
+        scope: Scope,
+        parts: Vec<aggregate::Part>,
+        to: &[Ipv4Addr],
+    ) {
         if to.is_empty() {
             return;
         }
@@ -421,16 +454,22 @@
         }
     }
 
-    /// Sends changes of the list of backend servers at once.
-    fn send_delta(&mut self, now: Instant, delta: &crate::replica::Delta) {
-        for scope in [Scope::Digest, Scope::Relay] {
-            let to: Vec<Ipv4Addr> = match scope {
-                Scope::Relay => self.host.members.borrow().relays(now).to_vec(),
-                _ => self.host.members.borrow().neighbours(now).collect(),
-            };
+    /// Sends changes of the list of backend servers to this zone and the others.
+    fn send_delta(&mut self, now: Instant, delta: &Delta) {
+        let zone: Vec<Ipv4Addr> = self.host.members.borrow().neighbours(now).collect();
+        self.send_parts(now, Scope::Digest, delta, &zone);
+        let relays = self.host.members.borrow().relays(now);
+        self.send_parts(now, Scope::Relay, delta, &relays);
+    }
+
+    /// Sends changes of the list of backend servers, in as many reports as they
+    /// need.
+    fn send_parts(&mut self, now: Instant, scope: Scope, delta: &Delta, to: &[Ipv4Addr]) {
+        for part in fragment::split(delta) {
             let mut report = self.new_report(now, scope);
-            report.delta = Some(delta.clone());
-            self.send(&report, &to);
+            report.delta = Some(part.delta);
+            report.part = part.position;
+            self.send(&report, to);
         }
     }
 
@@ -439,15 +478,7 @@
             return;
         }
         let bytes = match report.encode() {
-            Ok((bytes, has_delta)) => {
-                if let Some(delta) = &report.delta
-                    && !has_delta
-                {
-                    self.host.metrics.list_deltas_unsent.increment();
-                    log::warn!(event = "delta_not_sent", base = delta.base, version = delta.version, changes = delta.changes.len(), receivers = to.len(); "change of the list of backend servers is too large for a report; its receivers have to fetch the list");
-                }
-                bytes
-            }
+            Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(event = "report_not_encoded", error = error.to_string(); "failed to encode a report");
                 return;
@@ -480,55 +511,76 @@
             let neighbours: Vec<_> = self.host.members.borrow().neighbours(now).collect();
             self.send(&report, &neighbours);
         }
-        self.update_replica(now, &report);
+        self.update_replica(now, report);
     }
 
-    /// Applies the changes of a report to the copy of the catalog, and has the
-    /// origin's copy fetched if it is newer.
-    fn update_replica(&mut self, now: Instant, report: &Report) {
+    /// Applies the changes of a report to the copy of the catalog, and has what
+    /// this host lacks fetched from the origin.
+    fn update_replica(&mut self, now: Instant, mut report: Report) {
+        let origin = report.origin();
+        let delta = report.delta.take().and_then(|delta| {
+            let position = report.part;
+            self.assembly.add(origin, Part { delta, position })
+        });
         let mut replica = self.host.replica.borrow_mut();
-        let known = replica.freshness(now).upstreams;
-        let is_changed = report
-            .delta
+        let known = replica.list_version();
+        let is_changed = delta
             .as_ref()
             .is_some_and(|delta| replica.apply_delta(now, delta));
         let is_behind = replica.compare(now, &report.freshness);
+        let own = replica.freshness(now);
         drop(replica);
-        if let Some(delta) = &report.delta {
-            self.log_delta(now, report.origin(), delta, known, is_changed);
+        if let Some(delta) = &delta {
+            self.log_delta(now, origin, delta, known, is_changed);
         }
         if is_changed {
             self.host.catalog_changed();
             if report.scope == Scope::Host
-                && let Some(delta) = &report.delta
+                && let Some(delta) = &delta
             {
                 self.send_delta(now, delta);
             }
         }
-        if !is_behind {
-            self.behind_since = None;
-            return;
+        if self.lacking.is_some_and(|lacking| lacking.is_met_by(&own)) {
+            self.lacking = None;
         }
-        let is_in_zone = self.host.members.borrow().is_in_zone(report.origin());
-        let since = *self.behind_since.get_or_insert(now);
-        if is_in_zone
-            || self.is_aggregating
-            || now.saturating_duration_since(since) >= REMOTE_FETCH_DELAY
-        {
-            self.fetcher.request(report.origin());
+        if is_behind {
+            self.fetch_lacking(now, origin, &report.freshness, &own);
         }
     }
 
-    /// Logs and counts a change of the list that another host reported when this
-    /// host's list had the version `known`.
-    fn log_delta(
-        &self,
+    /// Has the copy of `origin`, which is newer than this host's, fetched if what
+    /// this host lacks has not come by itself.
+    fn fetch_lacking(
+        &mut self,
         now: Instant,
-        from: Ipv4Addr,
-        delta: &replica::Delta,
-        known: u64,
-        is_applied: bool,
+        origin: Ipv4Addr,
+        newer: &Freshness,
+        own: &Freshness,
     ) {
+        let lacking = self.lacking.get_or_insert(Lacking {
+            configuration: 0,
+            upstreams: 0,
+            since: now,
+        });
+        lacking.configuration = lacking.configuration.max(newer.configuration);
+        lacking.upstreams = lacking.upstreams.max(newer.upstreams);
+        let is_in_zone = self.host.members.borrow().is_in_zone(origin);
+        let delay = if !is_in_zone && !self.host.is_aggregating.get() {
+            REMOTE_FETCH_DELAY
+        } else if newer.configuration > own.configuration || own.upstreams == 0 {
+            Duration::ZERO
+        } else {
+            LIST_FETCH_DELAY
+        };
+        if now.saturating_duration_since(lacking.since) >= delay {
+            self.fetcher.request(origin);
+        }
+    }
+
+    /// Logs and counts a change of the list that another host reported when this
+    /// host's list had the version `known`.
+    fn log_delta(&self, now: Instant, from: Ipv4Addr, delta: &Delta, known: u64, is_applied: bool) {
         let metrics = &self.host.metrics;
         if is_applied {
             metrics.list_deltas.increment();
@@ -586,7 +638,7 @@
         drop(evidence);
         drop(members);
         if is_host_report {
-            self.is_aggregating = true;
+            self.host.is_aggregating.set(true);
             let is_urgent = report
                 .outcomes
                 .iter()
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -22,7 +22,7 @@
     evidence::{Change, Evidence, Observation, Outcome, Transition},
     logging, metrics,
     peer::{members::Members, report::Hello},
-    replica::{Delta, Replica},
+    replica::Replica,
     settings::{Reloadable, Settings},
 };
 
@@ -59,9 +59,9 @@
 pub(crate) struct Outbox {
     /// Outcomes since the last report.
     pub outcomes: Vec<Observation>,
-    /// Changes of the list of backend servers that this host has just read from
-    /// the store.
-    pub delta: Option<Delta>,
+    /// Version of the list of backend servers before the first change that this
+    /// host has to tell others of.
+    pub changed_since: Option<u64>,
     /// Whether to report at once, without waiting for more updates.
     pub urgent: bool,
 }
@@ -86,6 +86,8 @@
     pub outbox: RefCell<Outbox>,
     /// Wakes the task that sends reports.
     pub outbox_changed: Notify,
+    /// Whether this host sends digests.
+    pub is_aggregating: Cell<bool>,
     /// Retry quotas by service.
     pub quotas: RefCell<HashMap<Arc<str>, quota::Quota>>,
     /// State of the weighted choice between the services of a route, by route
@@ -142,6 +144,7 @@
             )),
             outbox: RefCell::default(),
             outbox_changed: Notify::new(),
+            is_aggregating: Cell::new(false),
             quotas: RefCell::default(),
             splits: RefCell::default(),
             exhausted: RefCell::default(),
@@ -293,6 +296,13 @@
         log::warn!(event = event, held_bytes = held, limit_bytes = self.settings.memory.limit_bytes, peak_bytes = peak; "memory for bodies in flight became short or sufficient");
     }
 
+    /// Has the changes of the list of backend servers since the version `before`
+    /// reported to other hosts at once.
+    pub(crate) fn announce_changes(&self, before: u64) {
+        self.outbox.borrow_mut().changed_since.get_or_insert(before);
+        self.request_flush();
+    }
+
     /// Has pending updates reported to other hosts at once.
     pub(crate) fn request_flush(&self) {
         self.outbox.borrow_mut().urgent = true;
@@ -331,8 +341,7 @@
                 .borrow_mut()
                 .set_upstreams(now, list.value.values());
         }
-        self.shared
-            .publish_catalog(catalog, replica.freshness(now), now);
+        self.shared.publish_catalog(&replica, now);
         self.shared
             .set_ready(catalog.is_complete() && !self.is_stopping());
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod daemon;
 pub mod evidence;
 mod exchange;
+pub mod history;
 mod host;
 pub mod logging;
 pub mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -104,8 +104,6 @@
     pub list_deltas: Counter,
     /// Changes of the list that did not fit this host's list.
     pub list_deltas_unfit: Counter,
-    /// Changes of the list that were too large for a report.
-    pub list_deltas_unsent: Counter,
     /// Copies of the catalog fetched from other daemons.
     pub copies_fetched: Counter,
     /// Copies of the catalog that could not be fetched.
@@ -199,7 +197,6 @@
             ("memory_streamed", &self.memory_streamed),
             ("list_deltas", &self.list_deltas),
             ("list_deltas_unfit", &self.list_deltas_unfit),
-            ("list_deltas_unsent", &self.list_deltas_unsent),
             ("copies_fetched", &self.copies_fetched),
             ("copies_failed", &self.copies_failed),
             ("copies_served", &self.copies_served),
--- a/crates/gateway/src/peer/client.rs
+++ b/crates/gateway/src/peer/client.rs
@@ -5,7 +5,11 @@
 use error_stack::{Report, ResultExt};
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog::Catalog, replica::Freshness, store};
+use crate::{
+    catalog::Catalog,
+    replica::{Delta, Freshness},
+    store,
+};
 
 /// Path of [`Snapshot`] on the peer port.
 pub const COPY_PATH: &str = "/peer/v2/copy";
@@ -35,14 +39,23 @@
     pub configuration: u64,
     /// Digest of its list of backend servers; 0 without one.
     pub digest: u64,
+    /// Version of that list. Daemons of earlier builds do not send it; they get
+    /// the whole list.
+    #[serde(default)]
+    pub upstreams: u64,
+    /// Whether it has a list of hosts.
+    #[serde(default)]
+    pub has_hosts: bool,
 }
 
 impl Versions {
     /// Returns the versions of a copy of this freshness.
-    pub fn of(freshness: &Freshness) -> Self {
+    pub fn of(freshness: &Freshness, has_hosts: bool) -> Self {
         Self {
             configuration: freshness.configuration,
             digest: freshness.digest,
+            upstreams: freshness.upstreams,
+            has_hosts,
         }
     }
 }
@@ -55,8 +68,12 @@
     /// Versions of the copy and proofs of how current it is.
     #[serde(rename = "standing")]
     pub freshness: Freshness,
-    /// The hosts that the daemon knows.
+    /// The hosts that the daemon knows; none for one that has a list of them.
     pub hosts: Vec<store::Host>,
+    /// Changes of the list of backend servers since the version of the requesting
+    /// daemon, in place of the whole list.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub changes: Option<Delta>,
 }
 
 /// Fetches the copy of the daemon at `address`, without the parts that
--- a/crates/gateway/src/peer/report.rs
+++ b/crates/gateway/src/peer/report.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::fragment;
 use crate::{
     evidence::Observation,
     replica::{Delta, Freshness},
@@ -93,8 +94,13 @@
     /// it is.
     #[serde(rename = "standing")]
     pub freshness: Freshness,
-    /// Changes of the list of backend servers that the origin has just learned.
+    /// Changes of the list of backend servers that the origin has just learned;
+    /// some of them if `part` is present.
     pub delta: Option<Delta>,
+    /// Position of `delta` among the parts of a larger one. Daemons of earlier
+    /// builds drop reports with it and fetch the list.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub part: Option<fragment::Position>,
 }
 
 impl Report {
@@ -108,17 +114,8 @@
         rmp_serde::from_slice(bytes)
     }
 
-    /// Encodes the report, without its delta if it would exceed
-    /// [`MAX_DATAGRAM_BYTES`]. Returns also whether it has its delta.
-    pub fn encode(&self) -> Result<(Vec<u8>, bool), rmp_serde::encode::Error> {
-        let bytes = rmp_serde::to_vec(self)?;
-        if bytes.len() <= MAX_DATAGRAM_BYTES || self.delta.is_none() {
-            return Ok((bytes, self.delta.is_some()));
-        }
-        let without_delta = Self {
-            delta: None,
-            ..self.clone()
-        };
-        Ok((rmp_serde::to_vec(&without_delta)?, false))
+    /// Encodes the report.
+    pub fn encode(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+        rmp_serde::to_vec(self)
     }
 }
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     catalog::{Catalog, Configuration, Instance, State, Upstream, Upstreams, Versioned},
+    history::{self, History},
     store,
 };
 
@@ -93,10 +94,11 @@
     }
 }
 
-/// Changes between two versions of the list of upstreams.
+/// Changes between two versions of the list of upstreams. Each has the whole
+/// entry, so it applies to any version from the base on.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Delta {
-    /// Version that the changes apply to.
+    /// Oldest version that the changes apply to.
     pub base: u64,
     /// Version that they result in.
     pub version: u64,
@@ -116,6 +118,8 @@
 #[derive(Debug)]
 pub struct Replica {
     catalog: Catalog,
+    /// The latest changes of the list.
+    history: Arc<History>,
     /// Upstreams in the list that accept new requests, by service.
     ready: HashMap<Arc<str>, Vec<Instance>>,
     digest: u64,
@@ -134,6 +138,7 @@
     pub fn new(reregistration: Duration) -> Self {
         Self {
             catalog: Catalog::default(),
+            history: Arc::default(),
             ready: HashMap::new(),
             digest: 0,
             cursor: 0,
@@ -161,6 +166,17 @@
         self.cursor
     }
 
+    /// Returns the version of the list of upstreams; 0 without one.
+    pub fn list_version(&self) -> u64 {
+        let list = self.catalog.upstreams.as_ref();
+        list.map_or(0, |list| list.version)
+    }
+
+    /// Returns the latest changes of the list.
+    pub fn history(&self) -> &Arc<History> {
+        &self.history
+    }
+
     /// Returns the upstreams of `service` that may get new requests.
     pub fn usable<'a>(
         &'a self,
@@ -254,7 +270,7 @@
         let version = |version: Option<u64>| version.unwrap_or(0);
         Freshness {
             configuration: version(self.configuration().map(|c| c.version)),
-            upstreams: version(self.catalog.upstreams.as_ref().map(|u| u.version)),
+            upstreams: self.list_version(),
             digest: self.digest,
             cursor: self.cursor,
             configuration_cursor: self.configuration_cursor.unwrap_or(0),
@@ -326,15 +342,19 @@
         }
         self.detect_store_outage_end(now);
         let before = self.catalog.upstreams.take();
-        let changed = before
-            .as_ref()
-            .is_none_or(|before| before.value != list.value);
         for upstream in before.iter().flat_map(|before| before.value.values()) {
             if !list.value.contains_key(&upstream.id) {
                 self.retain_removed(now, upstream);
             }
         }
         self.retained.retain(|id, _| !list.value.contains_key(id));
+        let changes = before.map(|before| history::difference(&before.value, &list.value));
+        let changed = changes.as_ref().is_none_or(|changes| !changes.is_empty());
+        let history = Arc::make_mut(&mut self.history);
+        match changes {
+            Some(changes) => history.extend(list.version, changes),
+            None => history.reset(list.version),
+        }
         self.set_list(list);
         changed
     }
@@ -375,6 +395,7 @@
         // Also without an effect here the list has this version now. A host whose
         // list was read in one piece may lack a change that this host's list, read
         // in pages, already has.
+        Arc::make_mut(&mut self.history).extend(version, changes.iter().cloned());
         self.set_list(Versioned {
             version,
             value: Arc::new(upstreams),
@@ -399,14 +420,14 @@
         self.catalog.upstreams = Some(list);
     }
 
-    /// Applies a delta from another host if its base is the version of this
-    /// copy. Returns whether it was applied.
+    /// Applies a delta from another host if this copy is not older than its base.
+    /// Returns whether it was applied.
     pub fn apply_delta(&mut self, now: Instant, delta: &Delta) -> bool {
         let fits = self
             .catalog
             .upstreams
             .as_ref()
-            .is_some_and(|list| list.version == delta.base);
+            .is_some_and(|list| list.version >= delta.base);
         fits && self
             .apply_changes(now, delta.version, delta.changes.clone())
             .is_some()
@@ -422,6 +443,7 @@
             && let Some(list) = &mut self.catalog.upstreams
         {
             list.version = other.upstreams;
+            Arc::make_mut(&mut self.history).extend(other.upstreams, []);
         }
         let at = |proof: Proof| now.checked_sub(Duration::from_millis(proof.age_ms.into()));
         if let Some(proof) = other.configuration_proof
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -200,7 +200,7 @@
         let mut replica = host.replica.borrow_mut();
         let delta = replica.apply_changes(host.now(), found.version, found.value);
         replica.prove_upstreams(at, found.clock, found.version);
-        (delta, replica.freshness(host.now()).upstreams)
+        (delta, replica.list_version())
     };
     if count > 0 && delta.is_none() {
         log::info!(event = "changes_outdated", version = found.version, known = known, count = count; "answer of the store is older than the list of upstreams; its changes were ignored");
@@ -208,8 +208,7 @@
     if let Some(delta) = delta {
         log::info!(event = "upstreams_changed", version = delta.version, changes = format!("{:?}", summary(&delta.changes)); "list of upstreams changed");
         host.catalog_changed();
-        host.outbox.borrow_mut().delta = Some(delta);
-        host.request_flush();
+        host.announce_changes(delta.base);
         tokio::time::sleep(BATCH_DELAY).await;
     }
     Ok(())
@@ -220,6 +219,7 @@
     let list = store.upstreams().await?;
     let (version, count) = (list.version, list.value.len());
     let mut replica = host.replica.borrow_mut();
+    let before = replica.list_version();
     let changed = replica.replace_upstreams(
         host.now(),
         crate::catalog::Versioned {
@@ -232,6 +232,7 @@
     log::info!(event = "upstreams_read", version = version, count = count, changed = changed; "list of upstreams read from the store");
     if changed {
         host.catalog_changed();
+        host.announce_changes(before);
     }
     Ok(())
 }
@@ -393,7 +394,8 @@
 /// Fetches the copy of the daemon at `address` and adopts what is newer.
 async fn fetch(host: &Host, client: &awc::Client, address: Ipv4Addr) {
     let started = host.now();
-    let versions = client::Versions::of(&host.replica.borrow().freshness(started));
+    let known = host.replica.borrow().freshness(started);
+    let versions = client::Versions::of(&known, host.members.borrow().has_list());
     let copy = match client::fetch(client, address, host.settings.peer_port, versions).await {
         Ok(copy) => copy,
         Err(error) => {
@@ -412,6 +414,8 @@
         .catalog
         .upstreams
         .is_some_and(|list| replica.replace_upstreams(now, list));
+    let changes = copy.changes.as_ref();
+    let is_changed = changes.is_some_and(|delta| replica.apply_delta(now, delta));
     replica.compare(started, &copy.freshness);
     let list_age = replica.upstreams_age(now).unwrap_or_default();
     drop(replica);
@@ -420,8 +424,12 @@
     if !copy.hosts.is_empty() {
         host.members.borrow_mut().add_list(now, copy.hosts);
     }
-    log::info!(event = "copy_fetched", peer = address.to_string(), configuration = configured, upstreams = replaced, version = copy.freshness.upstreams, list_age_ms = list_age.as_millis() as u64, taken_ms = now.saturating_duration_since(started).as_millis() as u64; "copy of the catalog fetched from a daemon");
-    if configured || replaced {
+    log::info!(event = "copy_fetched", peer = address.to_string(), configuration = configured, upstreams = replaced, changes = copy.changes.map(|delta| delta.changes.len()), version = copy.freshness.upstreams, list_age_ms = list_age.as_millis() as u64, taken_ms = now.saturating_duration_since(started).as_millis() as u64; "copy of the catalog fetched from a daemon");
+    if configured || replaced || is_changed {
         host.catalog_changed();
     }
+    // The hosts that this one sends digests to lack the same changes.
+    if (replaced || is_changed) && host.is_aggregating.get() {
+        host.announce_changes(known.upstreams);
+    }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -53,6 +53,16 @@
     Remove(Arc<str>),
 }
 
+impl Change {
+    /// Returns the identity of the backend server.
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Put(upstream) => &upstream.id,
+            Self::Remove(id) => id,
+        }
+    }
+}
+
 /// A machine that runs a daemon, as registered in the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Host {
