Read the store early enough to have a change in force in time

A host that gets no proof of its list from others read the store at the age of 3 s, whatever the deployment allows: 3 s on the large site, 2 s on the smaller ones, so that it could only be late. It reads at half of the time that the deployment states (terms.bounds.drain) now, at most at 3 s. Hosts without a list of hosts wait for 3 s as before, so that a fleet that starts calls the store no more often.

Test: every_host_reads_well_within_the_time_for_a_change.

--- a/crates/policy/src/reader.rs
+++ b/crates/policy/src/reader.rs
@@ -20,8 +20,27 @@
     /// Additional age for each further rank.
     pub rank_delay: Duration,
     /// Age after which every host reads, whatever its rank: messages from other
-    /// hosts do not prove that its own copy is current.
+    /// hosts do not prove that its own copy is current. Has to leave enough of the
+    /// time within which a change must be in force to read and apply it.
     pub max_age: Duration,
+    /// Time after which a host reads that has no list of hosts, and so no rank.
+    pub unranked_delay: Duration,
+}
+
+impl Settings {
+    /// Share of the time within which a change must be in force that a host waits
+    /// for others to tell it.
+    const WAIT_SHARE: f64 = 0.5;
+
+    /// Returns settings under which each host reads early enough to have a change
+    /// in force within `bound`.
+    pub fn within(bound: Duration) -> Self {
+        let default = Self::default();
+        Self {
+            max_age: default.max_age.min(bound.mul_f64(Self::WAIT_SHARE)),
+            ..default
+        }
+    }
 }
 
 impl Default for Settings {
@@ -31,6 +50,7 @@
             stale_threshold: Duration::from_millis(800),
             rank_delay: Duration::from_millis(40),
             max_age: Duration::from_millis(3000),
+            unranked_delay: Duration::from_millis(3000),
         }
     }
 }
@@ -67,7 +87,7 @@
 /// list of hosts: when a whole fleet starts, each would rank itself first.
 pub fn is_reader(settings: &Settings, rank: Option<usize>, age: Duration) -> bool {
     let Some(rank) = rank else {
-        return age >= settings.max_age;
+        return age >= settings.unranked_delay;
     };
     if rank < settings.readers {
         return true;
--- a/crates/policy/tests/reader.rs
+++ b/crates/policy/tests/reader.rs
@@ -95,5 +95,20 @@
     let settings = Settings::default();
     expect_false!(is_reader(&settings, None, Duration::ZERO));
     expect_false!(is_reader(&settings, None, settings.stale_threshold));
-    expect_true!(is_reader(&settings, None, settings.max_age));
+    expect_true!(is_reader(&settings, None, settings.unranked_delay));
+}
+
+// Guards against a host that reads the store only when the time within which it has
+// to know of a change is over, because it ranks last of a large fleet.
+#[gtest]
+fn every_host_reads_well_within_the_time_for_a_change() {
+    for bound in [Duration::from_secs(2), Duration::from_secs(3)] {
+        let settings = Settings::within(bound);
+        for rank in [0, 42, 442, 3799] {
+            expect_true!(is_reader(&settings, Some(rank), bound / 2));
+        }
+        expect_false!(is_reader(&settings, None, bound / 2));
+    }
+    let never = Settings::within(Duration::MAX);
+    expect_that!(never.max_age, eq(Settings::default().max_age));
 }
--- a/crates/standin/src/gateway.rs
+++ b/crates/standin/src/gateway.rs
@@ -281,7 +281,7 @@
              [network]\nportRange = [{first}, {last}]\nseeds = [{}]\n\
              [network.listen]\nfront = \"{ip}:{front}\"\nready = \"{ip}:{ready}\"\ncontrol = \"{ip}:{control}\"\n\
              [platform.platform]\naddress = \"{}\"\n\
-             [terms.bounds]\ngrace = \"{}ms\"\nretryBudgetRatio = 0.2\nbudgetSlack = 60\n",
+             [terms.bounds]\ngrace = \"{}ms\"\ndrain = \"2000ms\"\nretryBudgetRatio = 0.2\nbudgetSlack = 60\n",
             host % 2,
             self.settings.memory_mb,
             seeds.join(","),
