Fetch changes of the list only while none arrive by themselves

The wait begins anew with each change that is applied now, configuration and list are looked at on their own, and a request that was queued during a call is dropped.

The receivers of digests are found once in 100 ms instead of for each datagram, which took a walk over all hosts; digests to the zone and to other zones share their code.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,12 +12,13 @@
 };
 
 use dotterelhinge_policy::aggregation;
+use smallvec::SmallVec;
 use tokio::net::UdpSocket;
 
 use crate::{
     host::Host,
     peer::{
-        aggregate::{self, Aggregate, Audience},
+        aggregate::{Aggregate, Audience},
         fragment::{self, Assembly, Part},
         report::{Count, MAX_INTRODUCTIONS, Report, Scope},
     },
@@ -69,19 +70,40 @@
 /// Maximum datagrams that are read before the timers are checked again.
 const MAX_BURST: usize = 32;
 
-/// Versions of the catalog that other hosts have and this one lacks.
+/// The hosts to which this one sends digests.
+#[derive(Debug, Default)]
+struct Receivers {
+    /// The live hosts of this zone.
+    zone: Vec<Ipv4Addr>,
+    /// The hosts that forward digests within the other zones.
+    relays: SmallVec<[Ipv4Addr; 16]>,
+}
+
+/// A newer version of a part of the catalog that another host has.
 #[derive(Clone, Copy, Debug)]
 struct Lacking {
-    configuration: u64,
-    upstreams: u64,
-    /// When the first of them was heard of.
+    version: u64,
+    /// Since when this host has lacked a newer version and got none.
     since: Instant,
 }
 
 impl Lacking {
-    /// Returns whether a copy with the versions `own` lacks nothing.
-    fn is_met_by(&self, own: &Freshness) -> bool {
-        own.configuration >= self.configuration && own.upstreams >= self.upstreams
+    /// Returns what a host with the version `own` lacks after a report with the
+    /// version `reported`.
+    fn update(known: Option<Self>, now: Instant, own: u64, reported: u64) -> Option<Self> {
+        let known = known.filter(|lacking| lacking.version > own);
+        if reported <= own {
+            return known;
+        }
+        Some(Self {
+            version: known.map_or(reported, |lacking| lacking.version.max(reported)),
+            since: known.map_or(now, |lacking| lacking.since),
+        })
+    }
+
+    /// Returns whether it has been lacking for `delay`.
+    fn is_due(self, now: Instant, delay: Duration) -> bool {
+        now.saturating_duration_since(self.since) >= delay
     }
 }
 
@@ -97,6 +119,8 @@
     /// outcomes.
     aggregator: Ipv4Addr,
     aggregate: Aggregate,
+    /// The hosts that get digests, as of the last check.
+    receivers: Receivers,
     /// Requests in flight as last reported.
     reported_in_use: Vec<Count>,
     /// When collected updates are sent.
@@ -111,8 +135,10 @@
     last_check: Option<(Instant, Duration)>,
     /// Changes of the list of backend servers of which some parts have arrived.
     assembly: Assembly,
-    /// What other hosts have and this one lacks.
-    lacking: Option<Lacking>,
+    /// A newer configuration that this host lacks.
+    lacking_configuration: Option<Lacking>,
+    /// A newer list of backend servers that this host lacks.
+    lacking_list: Option<Lacking>,
     /// Versions of the configuration and of the list of backend servers as last
     /// sent.
     sent_versions: (u64, u64),
@@ -131,6 +157,7 @@
             incarnation: rand::random(),
             sequence: 0,
             aggregate: Aggregate::default(),
+            receivers: Receivers::default(),
             reported_in_use: Vec::new(),
             due: None,
             last_periodic: None,
@@ -140,7 +167,8 @@
             list_count: 0,
             last_check: None,
             assembly: Assembly::default(),
-            lacking: None,
+            lacking_configuration: None,
+            lacking_list: None,
             sent_versions: (0, 0),
         }
     }
@@ -193,7 +221,7 @@
         let wait = if self.host.outbox.borrow().urgent {
             Duration::ZERO
         } else if self.host.is_aggregating.get() {
-            ZONE_DIGEST_INTERVAL.mul_f64(self.slowdown(now))
+            self.zone_digest_interval()
         } else {
             REPORT_DELAY
         };
@@ -203,10 +231,19 @@
 
     /// Returns the factor, at least 1, by which the intervals between digests
     /// are prolonged because this host is weak for its number of neighbours.
-    fn slowdown(&self, now: Instant) -> f64 {
-        let neighbours = self.host.members.borrow().neighbours(now).count() as f64;
+    fn slowdown(&self) -> f64 {
         let strength = f64::from(self.host.settings.strength.max(1));
-        (neighbours / strength / MAX_NEIGHBOURS_PER_STRENGTH).max(1.0)
+        (self.receivers.zone.len() as f64 / strength / MAX_NEIGHBOURS_PER_STRENGTH).max(1.0)
+    }
+
+    /// Returns the time between digests of updates to this zone.
+    fn zone_digest_interval(&self) -> Duration {
+        ZONE_DIGEST_INTERVAL.mul_f64(self.slowdown())
+    }
+
+    /// Returns the time between digests of updates to the other zones.
+    fn relay_digest_interval(&self) -> Duration {
+        RELAY_DIGEST_INTERVAL.mul_f64(self.slowdown())
     }
 
     /// Does the work whose timer has expired.
@@ -245,6 +282,10 @@
         self.host.check_memory();
         self.choose_aggregator(now);
         let members = self.host.members.borrow();
+        self.receivers = Receivers {
+            zone: members.neighbours(now).collect(),
+            relays: members.relays(now),
+        };
         self.host.shared.publish_hosts(members.hosts());
         let replica = self.host.replica.borrow();
         let metrics = &self.host.metrics;
@@ -331,7 +372,7 @@
             if self.host.is_aggregating.get() {
                 self.send_delta(now, delta);
             }
-            self.send_parts(now, Scope::Host, delta, &[self.aggregator]);
+            self.send_parts(now, Scope::Host, delta);
         }
         let has_updates = !outbox.outcomes.is_empty() || is_changed;
         if !is_periodic && !has_updates && versions == self.sent_versions {
@@ -349,7 +390,7 @@
             self.host.evidence.borrow_mut().set_echoed(&in_use);
             self.reported_in_use = in_use;
         }
-        self.send(&report, &[self.aggregator]);
+        self.send(&report, self.receivers(Scope::Host));
     }
 
     /// Creates the next report, with only its origin and the freshness of this
@@ -370,7 +411,6 @@
         if !self.host.is_aggregating.get() {
             return;
         }
-        let slowdown = self.slowdown(now);
         let freshness = self.host.replica.borrow().freshness(now);
         let versions = (freshness.configuration, freshness.upstreams);
         let is_changed = std::mem::replace(&mut self.sent_versions, versions) != versions;
@@ -379,51 +419,58 @@
             self.last_list = Some(now);
             self.send_lists(now);
         }
-        let is_pending = self.aggregate.has_pending(Audience::Zone);
-        let interval = ZONE_DIGEST_INTERVAL.mul_f64(slowdown);
-        if is_changed
-            || (is_pending && has_elapsed(now, self.last_zone_digest, interval))
-            || has_elapsed(now, self.last_zone_digest, HEARTBEAT_INTERVAL)
-        {
-            self.last_zone_digest = Some(now);
-            let to: Vec<Ipv4Addr> = self.host.members.borrow().neighbours(now).collect();
-            let parts = self.aggregate.take(Audience::Zone, &upstreams);
-            self.send_digest(now, Scope::Digest, parts, &to);
-        } else if is_pending {
-            let due = self.last_zone_digest.map_or(now, |at| at + interval);
-            self.due = Some(self.due.map_or(due, |before| before.min(due)));
-        }
-        let is_pending = self.aggregate.has_pending(Audience::OtherZones);
-        let interval = RELAY_DIGEST_INTERVAL.mul_f64(slowdown);
-        if is_changed
-            || has_elapsed(now, self.last_relay_digest, HEARTBEAT_INTERVAL)
-            || (is_pending && has_elapsed(now, self.last_relay_digest, interval))
-        {
-            self.last_relay_digest = Some(now);
-            let to = self.host.members.borrow().relays(now);
-            let parts = self.aggregate.take(Audience::OtherZones, &upstreams);
-            self.send_digest(now, Scope::Relay, parts, &to);
-        } else if is_pending {
-            let due = self.last_relay_digest.map_or(now, |at| at + interval);
-            self.due = Some(self.due.map_or(due, |before| before.min(due)));
+        for audience in [Audience::Zone, Audience::OtherZones] {
+            self.send_digest(now, audience, is_changed, &upstreams);
         }
     }
 
+    /// Sends what has not been sent to `audience` if its interval has passed, or at
+    /// once if the catalog `is_changed`.
     fn send_digest(
         &mut self,
         now: Instant,
-        scope: Scope,
-        parts: Vec<aggregate::Part>,
-        to: &[Ipv4Addr],
+        audience: Audience,
+        is_changed: bool,
+        upstreams: &[u64],
     ) {
-        if to.is_empty() {
+        let (scope, interval, last) = match audience {
+            Audience::Zone => (
+                Scope::Digest,
+                self.zone_digest_interval(),
+                &mut self.last_zone_digest,
+            ),
+            Audience::OtherZones => (
+                Scope::Relay,
+                self.relay_digest_interval(),
+                &mut self.last_relay_digest,
+            ),
+        };
+        let is_pending = self.aggregate.has_pending(audience);
+        let is_due = is_changed
+            || has_elapsed(now, *last, HEARTBEAT_INTERVAL)
+            || (is_pending && has_elapsed(now, *last, interval));
+        if !is_due {
+            if is_pending {
+                let due = last.map_or(now, |at| at + interval);
+                self.due = Some(self.due.map_or(due, |before| before.min(due)));
+            }
             return;
         }
-        for part in parts {
+        *last = Some(now);
+        for part in self.aggregate.take(audience, upstreams) {
             let mut report = self.new_report(now, scope);
             report.outcomes = part.outcomes;
             report.in_use = Some(part.in_use);
-            self.send(&report, to);
+            self.send(&report, self.receivers(scope));
+        }
+    }
+
+    /// Returns the hosts to which reports of this scope go.
+    fn receivers(&self, scope: Scope) -> &[Ipv4Addr] {
+        match scope {
+            Scope::Host => std::slice::from_ref(&self.aggregator),
+            Scope::Digest => &self.receivers.zone,
+            Scope::Relay => &self.receivers.relays,
         }
     }
 
@@ -456,20 +503,18 @@
 
     /// Sends changes of the list of backend servers to this zone and the others.
     fn send_delta(&mut self, now: Instant, delta: &Delta) {
-        let zone: Vec<Ipv4Addr> = self.host.members.borrow().neighbours(now).collect();
-        self.send_parts(now, Scope::Digest, delta, &zone);
-        let relays = self.host.members.borrow().relays(now);
-        self.send_parts(now, Scope::Relay, delta, &relays);
+        self.send_parts(now, Scope::Digest, delta);
+        self.send_parts(now, Scope::Relay, delta);
     }
 
     /// Sends changes of the list of backend servers, in as many reports as they
     /// need.
-    fn send_parts(&mut self, now: Instant, scope: Scope, delta: &Delta, to: &[Ipv4Addr]) {
+    fn send_parts(&mut self, now: Instant, scope: Scope, delta: &Delta) {
         for part in fragment::split(delta) {
             let mut report = self.new_report(now, scope);
             report.delta = Some(part.delta);
             report.part = part.position;
-            self.send(&report, to);
+            self.send(&report, self.receivers(scope));
         }
     }
 
@@ -508,8 +553,7 @@
         }
         if report.scope == Scope::Relay {
             report.scope = Scope::Digest;
-            let neighbours: Vec<_> = self.host.members.borrow().neighbours(now).collect();
-            self.send(&report, &neighbours);
+            self.send(&report, self.receivers(Scope::Digest));
         }
         self.update_replica(now, report);
     }
@@ -527,7 +571,7 @@
         let is_changed = delta
             .as_ref()
             .is_some_and(|delta| replica.apply_delta(now, delta));
-        let is_behind = replica.compare(now, &report.freshness);
+        replica.compare(now, &report.freshness);
         let own = replica.freshness(now);
         drop(replica);
         if let Some(delta) = &delta {
@@ -535,45 +579,47 @@
         }
         if is_changed {
             self.host.catalog_changed();
+            // More changes may already be under way.
+            self.lacking_list = None;
             if report.scope == Scope::Host
                 && let Some(delta) = &delta
             {
                 self.send_delta(now, delta);
             }
         }
-        if self.lacking.is_some_and(|lacking| lacking.is_met_by(&own)) {
-            self.lacking = None;
-        }
-        if is_behind {
-            self.fetch_lacking(now, origin, &report.freshness, &own);
-        }
+        self.fetch_lacking(now, origin, &report.freshness, &own);
     }
 
-    /// Has the copy of `origin`, which is newer than this host's, fetched if what
-    /// this host lacks has not come by itself.
+    /// Has the copy of `origin` fetched if it is newer than this host's, `own`, and
+    /// what this host lacks has not come by itself.
     fn fetch_lacking(
         &mut self,
         now: Instant,
         origin: Ipv4Addr,
-        newer: &Freshness,
+        reported: &Freshness,
         own: &Freshness,
     ) {
-        let lacking = self.lacking.get_or_insert(Lacking {
-            configuration: 0,
-            upstreams: 0,
-            since: now,
-        });
-        lacking.configuration = lacking.configuration.max(newer.configuration);
-        lacking.upstreams = lacking.upstreams.max(newer.upstreams);
+        let (configuration, list) = (&mut self.lacking_configuration, &mut self.lacking_list);
+        *configuration = Lacking::update(
+            *configuration,
+            now,
+            own.configuration,
+            reported.configuration,
+        );
+        *list = Lacking::update(*list, now, own.upstreams, reported.upstreams);
         let is_in_zone = self.host.members.borrow().is_in_zone(origin);
-        let delay = if !is_in_zone && !self.host.is_aggregating.get() {
-            REMOTE_FETCH_DELAY
-        } else if newer.configuration > own.configuration || own.upstreams == 0 {
-            Duration::ZERO
+        let (configuration_delay, list_delay) = if !is_in_zone && !self.host.is_aggregating.get() {
+            (REMOTE_FETCH_DELAY, REMOTE_FETCH_DELAY)
+        } else if own.upstreams == 0 {
+            (Duration::ZERO, Duration::ZERO)
         } else {
-            LIST_FETCH_DELAY
+            (Duration::ZERO, LIST_FETCH_DELAY)
         };
-        if now.saturating_duration_since(lacking.since) >= delay {
+        let is_configuration_due = reported.configuration > own.configuration
+            && configuration.is_some_and(|lacking| lacking.is_due(now, configuration_delay));
+        let is_list_due = reported.upstreams > own.upstreams
+            && list.is_some_and(|lacking| lacking.is_due(now, list_delay));
+        if is_configuration_due || is_list_due {
             self.fetcher.request(origin);
         }
     }
@@ -646,7 +692,7 @@
             let wait = if is_urgent {
                 Duration::ZERO
             } else {
-                ZONE_DIGEST_INTERVAL.mul_f64(self.slowdown(now))
+                self.zone_digest_interval()
             };
             let due = now + wait;
             self.due = Some(self.due.map_or(due, |before| before.min(due)));
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -377,6 +377,9 @@
             let client = awc::Client::builder().disable_timeout().finish();
             while let Some(address) = requests.recv().await {
                 fetch(&host, &client, address).await;
+                // One that was queued meanwhile may be met by this answer; if not, it
+                // is made again.
+                let _ = requests.try_recv();
             }
         };
         (Self(sender), task)
