Wait for three quarters of the time for a change before reading the store

Half of it left 1 s on the smaller sites, where the proof of a sound copy is up to 1.3 s old while the readers change. Reading takes a few hundred milliseconds at most, which the last quarter leaves.

--- a/crates/policy/src/reader.rs
+++ b/crates/policy/src/reader.rs
@@ -30,7 +30,7 @@
 impl Settings {
     /// Share of the time within which a change must be in force that a host waits
     /// for others to tell it.
-    const WAIT_SHARE: f64 = 0.5;
+    const WAIT_SHARE: f64 = 0.75;
 
     /// Returns settings under which each host reads early enough to have a change
     /// in force within `bound`.
