Leave the list of hosts out of a copy only if both know the same

Hosts that start together get their first list while others have not registered yet; later copies made it whole.

A request for a copy has a digest of the hosts that the daemon knows, and the answer leaves its list out only if that is the same. Since changes are now rarely fetched, a host also asks five others for theirs in the first twelve seconds. Test: digests_are_equal_only_if_the_same_hosts_are_known.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -18,7 +18,10 @@
     catalog::Catalog,
     history::History,
     metrics,
-    peer::client::{COPY_PATH, Snapshot, Versions},
+    peer::{
+        client::{COPY_PATH, Snapshot, Versions},
+        members::Members,
+    },
     replica::{Freshness, Proof, Replica},
     store,
 };
@@ -36,6 +39,7 @@
     freshness: Freshness,
     at: Instant,
     hosts: Vec<store::Host>,
+    hosts_digest: u64,
 }
 
 /// State that the request path shares with the control server.
@@ -77,9 +81,9 @@
             .published
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let hosts = published
+        let (hosts, hosts_digest) = published
             .take()
-            .map(|published| published.hosts)
+            .map(|published| (published.hosts, published.hosts_digest))
             .unwrap_or_default();
         *published = Some(Published {
             catalog: replica.catalog().clone(),
@@ -87,18 +91,20 @@
             freshness: replica.freshness(now),
             at: now,
             hosts,
+            hosts_digest,
         });
     }
 
-    /// Makes the known hosts available to other daemons. Has no effect before
-    /// the first catalog.
-    pub fn publish_hosts(&self, hosts: Vec<store::Host>) {
+    /// Makes the hosts that `members` knows available to other daemons. Has no
+    /// effect before the first catalog.
+    pub fn publish_hosts(&self, members: &Members) {
         let mut published = self
             .published
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         if let Some(published) = &mut *published {
-            published.hosts = hosts;
+            published.hosts = members.hosts();
+            published.hosts_digest = members.digest();
         }
     }
 
@@ -131,7 +137,7 @@
             catalog.upstreams = None;
         }
         let mut hosts = published.hosts;
-        if versions.has_hosts {
+        if versions.hosts == published.hosts_digest {
             hosts.clear();
         }
         Some(rmp_serde::to_vec(&Snapshot {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -286,7 +286,7 @@
             zone: members.neighbours(now).collect(),
             relays: members.relays(now),
         };
-        self.host.shared.publish_hosts(members.hosts());
+        self.host.shared.publish_hosts(&members);
         let replica = self.host.replica.borrow();
         let metrics = &self.host.metrics;
         metrics.list_version.set(replica.list_version());
--- a/crates/gateway/src/peer/client.rs
+++ b/crates/gateway/src/peer/client.rs
@@ -43,19 +43,22 @@
     /// the whole list.
     #[serde(default)]
     pub upstreams: u64,
-    /// Whether it has a list of hosts.
+    /// Digest of the hosts that it knows; see [`Members::digest`]. Daemons of
+    /// earlier builds do not send it; they get all hosts.
+    ///
+    /// [`Members::digest`]: super::members::Members::digest
     #[serde(default)]
-    pub has_hosts: bool,
+    pub hosts: u64,
 }
 
 impl Versions {
     /// Returns the versions of a copy of this freshness.
-    pub fn of(freshness: &Freshness, has_hosts: bool) -> Self {
+    pub fn of(freshness: &Freshness, hosts: u64) -> Self {
         Self {
             configuration: freshness.configuration,
             digest: freshness.digest,
             upstreams: freshness.upstreams,
-            has_hosts,
+            hosts,
         }
     }
 }
@@ -68,7 +71,7 @@
     /// Versions of the copy and proofs of how current it is.
     #[serde(rename = "standing")]
     pub freshness: Freshness,
-    /// The hosts that the daemon knows; none for one that has a list of them.
+    /// The hosts that the daemon knows; none for one that knows the same.
     pub hosts: Vec<store::Host>,
     /// Changes of the list of backend servers since the version of the requesting
     /// daemon, in place of the whole list.
--- a/crates/gateway/src/peer/members.rs
+++ b/crates/gateway/src/peer/members.rs
@@ -9,8 +9,9 @@
 };
 
 use dotterelhinge_policy::{reader, rendezvous};
-use rand::{Rng, RngExt};
+use rand::{Rng, seq::IteratorRandom};
 use smallvec::SmallVec;
+use xxhash_rust::xxh3;
 
 use super::report::{Count, Hello, Introduction, Report, Scope};
 use crate::store;
@@ -280,6 +281,15 @@
             .collect()
     }
 
+    /// Returns a digest of the addresses of all known hosts and this one, equal on
+    /// hosts that know the same.
+    pub fn digest(&self) -> u64 {
+        let known = self.by_address.keys().chain([&self.own]);
+        known.fold(0, |digest, address| {
+            digest ^ xxh3::xxh3_64(&address.octets())
+        })
+    }
+
     /// Returns the other live hosts of this availability zone.
     pub fn neighbours(&self, now: Instant) -> impl Iterator<Item = Ipv4Addr> {
         self.by_address
@@ -370,17 +380,15 @@
 
     /// Returns a random live host, or any known one if none is alive.
     pub fn random(&self, now: Instant, rng: &mut impl Rng) -> Option<Ipv4Addr> {
-        let mut addresses: SmallVec<[Ipv4Addr; 64]> = self
-            .by_address
-            .iter()
-            .filter(|(_, member)| member.is_alive(now))
-            .map(|(address, _)| *address)
-            .collect();
-        if addresses.is_empty() {
-            addresses = self.by_address.keys().copied().collect();
-        }
-        let index = rng.random_range(0..addresses.len().max(1));
-        addresses.get(index).copied()
+        let all = self.by_address.iter();
+        let alive = all.filter(|(_, member)| member.is_alive(now));
+        let alive = alive.map(|(address, _)| *address).choose(rng);
+        alive.or_else(|| self.random_known(rng))
+    }
+
+    /// Returns a random known host, whether or not it is alive.
+    pub fn random_known(&self, rng: &mut impl Rng) -> Option<Ipv4Addr> {
+        self.by_address.keys().copied().choose(rng)
     }
 }
 
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -46,6 +46,10 @@
 /// request is sent this long after the start.
 const PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Number of requests to other daemons for their lists of hosts after the first
+/// copy, at intervals that double from `PEER_REQUEST_INTERVAL` on.
+const HOST_LIST_REQUESTS: u32 = 5;
+
 /// A part of the catalog, which is read from the store on its own.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Subject {
@@ -344,8 +348,28 @@
     let _ = tokio::time::timeout(SEED_TIMEOUT, fetch(host, &client, others[picked])).await;
 }
 
-/// Requests copies from other daemons until this host has one.
+/// Requests copies from other daemons until this host has one, then a few more
+/// for their lists of hosts.
 async fn request_from_peers(host: &Host, fetcher: Fetcher) {
+    request_first_copy(host, &fetcher).await;
+    // Hosts that start together get their first list of hosts while others have not
+    // registered yet. Two groups that know nothing of each other would each have
+    // readers and an aggregator of their own.
+    let mut interval = PEER_REQUEST_INTERVAL;
+    for _ in 0..HOST_LIST_REQUESTS {
+        tokio::time::sleep(interval).await;
+        interval *= 2;
+        let known = host
+            .members
+            .borrow()
+            .random_known(&mut *host.rng.borrow_mut());
+        if let Some(address) = known {
+            fetcher.request(address);
+        }
+    }
+}
+
+async fn request_first_copy(host: &Host, fetcher: &Fetcher) {
     let mut requests = 0;
     loop {
         tokio::time::sleep(PEER_REQUEST_INTERVAL).await;
@@ -398,7 +422,7 @@
 async fn fetch(host: &Host, client: &awc::Client, address: Ipv4Addr) {
     let started = host.now();
     let known = host.replica.borrow().freshness(started);
-    let versions = client::Versions::of(&known, host.members.borrow().has_list());
+    let versions = client::Versions::of(&known, host.members.borrow().digest());
     let copy = match client::fetch(client, address, host.settings.peer_port, versions).await {
         Ok(copy) => copy,
         Err(error) => {
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -189,3 +189,24 @@
         let _ = Report::decode(&bytes);
     }
 }
+
+// Guards against groups of hosts that start together and never learn of each other,
+// because a copy leaves out the list of hosts although the receiver knows others.
+#[gtest]
+fn digests_are_equal_only_if_the_same_hosts_are_known() {
+    let now = Instant::now();
+    let host = |address: Ipv4Addr| store::Host {
+        name: address.to_string().into(),
+        address,
+        availability_zone: "north".into(),
+        strength: 200,
+    };
+    let mut first = Members::new(OWN, hello("own", "north"));
+    let mut second = Members::new(OTHER, hello("other", "north"));
+    expect_that!(first.digest(), not(eq(second.digest())));
+    first.add_list(now, [host(OTHER)]);
+    second.add_list(now, [host(OWN), host(THIRD)]);
+    expect_that!(first.digest(), not(eq(second.digest())));
+    first.add_list(now, [host(THIRD)]);
+    expect_that!(first.digest(), eq(second.digest()));
+}
