Send digests to other zones less often the more zones there are

The interval is 6 ms for each other zone now, so that the rate does not grow with their number: 12 ms with three zones as before, 18 ms with four, 30 ms with six.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -33,8 +33,14 @@
 /// [`Exchange::slowdown`] prolongs it.
 const ZONE_DIGEST_INTERVAL: Duration = Duration::from_millis(10);
 
-/// As [`ZONE_DIGEST_INTERVAL`], for digests to the other zones.
-const RELAY_DIGEST_INTERVAL: Duration = Duration::from_millis(12);
+/// As [`ZONE_DIGEST_INTERVAL`], for digests to the other zones, for each of them.
+/// Every host gets the digests of all zones, so that their rate must not grow with
+/// the number of zones.
+const RELAY_DIGEST_INTERVAL_PER_ZONE: Duration = Duration::from_millis(6);
+
+/// Number of other zones up to which the interval between digests to them does not
+/// depend on it.
+const MIN_RELAYS: usize = 2;
 
 /// Time between digests while there are no updates. Other hosts treat a longer
 /// silence as a failure; see [`aggregation::Settings::silence_timeout`].
@@ -243,7 +249,8 @@
 
     /// Returns the time between digests of updates to the other zones.
     fn relay_digest_interval(&self) -> Duration {
-        RELAY_DIGEST_INTERVAL.mul_f64(self.slowdown())
+        let relays = self.receivers.relays.len().max(MIN_RELAYS);
+        RELAY_DIGEST_INTERVAL_PER_ZONE.mul_f64(relays as f64 * self.slowdown())
     }
 
     /// Does the work whose timer has expired.
