--- a/crates/gateway/benches/list.rs
+++ b/crates/gateway/benches/list.rs
@@ -19,11 +19,11 @@
     Arc::new(Upstream {
         id: format!("i-{number:010x}").into(),
         incarnation: 1_790_000_000_123,
-        service: "registry-desk".into(),
+        service: "order-service".into(),
         address: format!("10.1.{}.{}:8629", number / 250, number % 250)
             .parse()
             .unwrap(),
-        availability_zone: "songino-khairkhan".into(),
+        availability_zone: "availability-zone".into(),
         slots: 3,
         state,
         cold_left: Duration::ZERO,
--- a/crates/gateway/tests/list_changes.rs
+++ b/crates/gateway/tests/list_changes.rs
@@ -22,9 +22,9 @@
     Arc::new(Upstream {
         id: format!("i-{number:010x}").into(),
         incarnation: u64::MAX,
-        service: "registry-desk".into(),
+        service: "order-service".into(),
         address: "10.200.200.200:65535".parse().unwrap(),
-        availability_zone: "songino-khairkhan".into(),
+        availability_zone: "availability-zone".into(),
         slots: 300,
         state,
         cold_left: Duration::from_millis(2_999),
