Count the datagrams between daemons, and log when none arrive

Datagrams and bytes are counted in both directions, and a host that has heard no other for a second logs peers_lost, then peers_regained with the length of the silence.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -73,6 +73,10 @@
 /// at once, in several datagrams.
 const LIST_FETCH_DELAY: Duration = Duration::from_millis(100);
 
+/// Time without a datagram after which a host that knows others counts as cut off.
+/// Even while nothing happens, an aggregator sends ten digests in that time.
+const CUT_OFF_THRESHOLD: Duration = Duration::from_secs(1);
+
 /// Maximum datagrams that are read before the timers are checked again.
 const MAX_BURST: usize = 32;
 
@@ -139,6 +143,10 @@
     list_count: u32,
     /// When the last check was made, by the clock and by the machine's uptime.
     last_check: Option<(Instant, Duration)>,
+    /// When the last datagram arrived.
+    last_received: Option<Instant>,
+    /// Whether no datagram has arrived for [`CUT_OFF_THRESHOLD`].
+    is_cut_off: bool,
     /// Changes of the list of backend servers of which some parts have arrived.
     assembly: Assembly,
     /// A newer configuration that this host lacks.
@@ -172,6 +180,8 @@
             last_list: None,
             list_count: 0,
             last_check: None,
+            last_received: None,
+            is_cut_off: false,
             assembly: Assembly::default(),
             lacking_configuration: None,
             lacking_list: None,
@@ -288,6 +298,7 @@
         self.host.publish_withdrawn(now);
         self.host.check_memory();
         self.choose_aggregator(now);
+        self.detect_cut_off(now);
         let members = self.host.members.borrow();
         self.receivers = Receivers {
             zone: members.neighbours(now).collect(),
@@ -319,6 +330,32 @@
         }
     }
 
+    /// Logs when no datagram arrives from hosts that were heard before.
+    fn detect_cut_off(&mut self, now: Instant) {
+        let Some(last) = self.last_received else {
+            return;
+        };
+        let silence = now.saturating_duration_since(last);
+        if !self.is_cut_off && silence >= CUT_OFF_THRESHOLD {
+            self.is_cut_off = true;
+            let metrics = &self.host.metrics;
+            log::warn!(event = "peers_lost", silence_ms = silence.as_millis() as u64, bytes_sent = metrics.datagram_bytes_sent.get(), bytes_received = metrics.datagram_bytes_received.get(); "no other daemon is heard");
+        }
+    }
+
+    /// Counts a datagram that has arrived, and logs if it ends a silence.
+    fn record_datagram(&mut self, now: Instant, length: usize, from: SocketAddr) {
+        let metrics = &self.host.metrics;
+        metrics.datagrams_received.increment();
+        metrics.datagram_bytes_received.add(length as u64);
+        let last = self.last_received.replace(now);
+        if self.is_cut_off {
+            self.is_cut_off = false;
+            let silence = last.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+            log::info!(event = "peers_regained", from = from.to_string(), silence_ms = silence.as_millis() as u64; "another daemon is heard again");
+        }
+    }
+
     /// Chooses the host that this one reports to, and decides whether this host
     /// sends digests.
     fn choose_aggregator(&mut self, now: Instant) {
@@ -544,6 +581,9 @@
                 log::debug!(event = "report_not_sent", peer = peer.to_string(), error = error.to_string(); "report not sent");
             }
         }
+        let metrics = &self.host.metrics;
+        metrics.datagrams_sent.add(to.len() as u64);
+        metrics.datagram_bytes_sent.add((bytes.len() * to.len()) as u64);
     }
 
     fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
@@ -555,6 +595,7 @@
             }
         };
         let now = self.host.now();
+        self.record_datagram(now, bytes.len(), from);
         if !self.record(now, &report) {
             return;
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -112,6 +112,14 @@
     pub copies_served: Counter,
     /// Bytes of the copies given to other daemons.
     pub copy_bytes_served: Counter,
+    /// Datagrams from other daemons.
+    pub datagrams_received: Counter,
+    /// Bytes of these datagrams.
+    pub datagram_bytes_received: Counter,
+    /// Datagrams to other daemons.
+    pub datagrams_sent: Counter,
+    /// Bytes of these datagrams.
+    pub datagram_bytes_sent: Counter,
     /// Store version of the list of backend servers.
     pub list_version: Gauge,
     /// Age of the newest proof that the list is current, in milliseconds.
@@ -201,6 +209,10 @@
             ("copies_failed", &self.copies_failed),
             ("copies_served", &self.copies_served),
             ("copy_bytes_served", &self.copy_bytes_served),
+            ("datagrams_received", &self.datagrams_received),
+            ("datagram_bytes_received", &self.datagram_bytes_received),
+            ("datagrams_sent", &self.datagrams_sent),
+            ("datagram_bytes_sent", &self.datagram_bytes_sent),
         ];
         let mut text = String::new();
         for (name, counter) in counters {
