--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -583,7 +583,9 @@
         }
         let metrics = &self.host.metrics;
         metrics.datagrams_sent.add(to.len() as u64);
-        metrics.datagram_bytes_sent.add((bytes.len() * to.len()) as u64);
+        metrics
+            .datagram_bytes_sent
+            .add((bytes.len() * to.len()) as u64);
     }
 
     fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -54,6 +54,8 @@
     /// Capacity for work on behalf of other hosts: thousandths of a processor
     /// core, limited by the network link.
     pub strength: u32,
+    /// Capacity of the host's network link in each direction, in bytes a second.
+    pub link_bytes_per_second: u64,
     /// Address for callers.
     pub listen: SocketAddr,
     /// Address for readiness checks of the load balancer.
@@ -152,6 +154,7 @@
             availability_zone: Arc::from("local"),
             address: Ipv4Addr::LOCALHOST,
             strength: 1000,
+            link_bytes_per_second: 125_000_000,
             listen: any_port,
             ready: any_port,
             ready_path: "/ready",
