Send other hosts no more than the link carries, and changes only once

What callers saw: a host that had heard nothing of the fleet for up to 16 s sent requests to servers that had left (DRAIN, 3,175 ms) and refused routes that were 5 s old (CONFIG).

Cause: a host forwards each datagram of other zones to all hosts of its own, at whatever rate they come. While a fleet starts, hosts that know few others choose weak ones for that; two hosts with links of 20 Mbit/s sent 42 and 32 MB in 2 s. The link takes all of it and queues it, so that the host's calls, answers and signs of life arrive 17 and 13 s late. The strong host of the zone sent 105 MB and was silent for 2 s. Also, each change was forwarded as often as readers and fetching hosts told of it.

Evidence: the trial with counters; ruled out are the processor (timers fired on time), dropped reports (calls over HTTP failed as well) and traffic to these hosts (0.3 MB in half a second at most).

Change: policy::pacing bounds what is sent by the link (0.7 of it, a tenth of a second at once); digests of other zones give way first, then those of the own zone, then changes, of which all parts are sent or none; signs of life are always sent. A relay or an aggregator passes a change on when it was news to it, and a host tells of what it fetched only those that report to it.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,18 +5,23 @@
 //! aggregator for itself, so that no report is lost while the hosts of a zone
 //! disagree about the aggregator.
 
+mod lacking;
+mod link;
+
 use std::{
     net::{Ipv4Addr, SocketAddr},
     rc::Rc,
+    slice,
     time::{Duration, Instant},
 };
 
-use dotterelhinge_policy::aggregation;
+use dotterelhinge_policy::{aggregation, pacing::Priority};
 use smallvec::SmallVec;
 use tokio::net::UdpSocket;
 
+use self::{lacking::Lacking, link::Link};
 use crate::{
-    host::Host,
+    host::{Host, Outbox},
     peer::{
         aggregate::{Aggregate, Audience},
         fragment::{self, Assembly, Part},
@@ -80,56 +85,38 @@
 /// Maximum datagrams that are read before the timers are checked again.
 const MAX_BURST: usize = 32;
 
-/// The hosts to which this one sends digests.
-#[derive(Debug, Default)]
+/// The hosts to which this one sends reports.
+#[derive(Debug)]
 struct Receivers {
+    /// The host that this one reports to; itself if it aggregates its own outcomes.
+    aggregator: Ipv4Addr,
     /// The live hosts of this zone.
     zone: Vec<Ipv4Addr>,
     /// The hosts that forward digests within the other zones.
     relays: SmallVec<[Ipv4Addr; 16]>,
 }
 
-/// A newer version of a part of the catalog that another host has.
-#[derive(Clone, Copy, Debug)]
-struct Lacking {
-    version: u64,
-    /// Since when this host has lacked a newer version and got none.
-    since: Instant,
-}
-
-impl Lacking {
-    /// Returns what a host with the version `own` lacks after a report with the
-    /// version `reported`.
-    fn update(known: Option<Self>, now: Instant, own: u64, reported: u64) -> Option<Self> {
-        let known = known.filter(|lacking| lacking.version > own);
-        if reported <= own {
-            return known;
-        }
-        Some(Self {
-            version: known.map_or(reported, |lacking| lacking.version.max(reported)),
-            since: known.map_or(now, |lacking| lacking.since),
-        })
-    }
-
-    /// Returns whether it has been lacking for `delay`.
-    fn is_due(self, now: Instant, delay: Duration) -> bool {
-        now.saturating_duration_since(self.since) >= delay
+impl Receivers {
+    /// Returns the hosts to which reports of `scope` go.
+    fn of(&self, scope: Scope) -> &[Ipv4Addr] {
+        match scope {
+            Scope::Host => slice::from_ref(&self.aggregator),
+            Scope::Digest => &self.zone,
+            Scope::Relay => &self.relays,
+        }
     }
 }
 
 /// The task that exchanges reports with other daemons.
 pub(crate) struct Exchange {
     host: Rc<Host>,
-    socket: UdpSocket,
+    link: Link,
     fetcher: Fetcher,
     incarnation: u64,
     sequence: u32,
     selector: aggregation::Selector<Ipv4Addr>,
-    /// The host that this one reports to; itself if it aggregates its own
-    /// outcomes.
-    aggregator: Ipv4Addr,
     aggregate: Aggregate,
-    /// The hosts that get digests, as of the last check.
+    /// The hosts that get reports, as of the last check.
     receivers: Receivers,
     /// Requests in flight as last reported.
     reported_in_use: Vec<Count>,
@@ -164,14 +151,17 @@
     pub(crate) fn new(host: Rc<Host>, socket: UdpSocket, fetcher: Fetcher) -> Self {
         Self {
             selector: aggregation::Selector::new(host.settings.aggregation.clone()),
-            aggregator: host.settings.address,
+            receivers: Receivers {
+                aggregator: host.settings.address,
+                zone: Vec::new(),
+                relays: SmallVec::new(),
+            },
+            link: Link::new(Rc::clone(&host), socket),
             host,
-            socket,
             fetcher,
             incarnation: rand::random(),
             sequence: 0,
             aggregate: Aggregate::default(),
-            receivers: Receivers::default(),
             reported_in_use: Vec::new(),
             due: None,
             last_periodic: None,
@@ -196,7 +186,7 @@
             let host = Rc::clone(&self.host);
             let wait = self.next_due().saturating_duration_since(host.now());
             tokio::select! {
-                received = self.socket.recv_from(&mut buffer) => {
+                received = self.link.socket().recv_from(&mut buffer) => {
                     self.receive_burst(&mut buffer, received);
                 }
                 () = host.outbox_changed.notified() => self.schedule_send(),
@@ -219,7 +209,7 @@
                     return;
                 }
             }
-            received = self.socket.try_recv_from(buffer);
+            received = self.link.socket().try_recv_from(buffer);
         }
     }
 
@@ -300,10 +290,8 @@
         self.choose_aggregator(now);
         self.detect_cut_off(now);
         let members = self.host.members.borrow();
-        self.receivers = Receivers {
-            zone: members.neighbours(now).collect(),
-            relays: members.relays(now),
-        };
+        self.receivers.zone = members.neighbours(now).collect();
+        self.receivers.relays = members.relays(now);
         self.host.shared.publish_hosts(&members);
         let replica = self.host.replica.borrow();
         let metrics = &self.host.metrics;
@@ -361,12 +349,13 @@
     fn choose_aggregator(&mut self, now: Instant) {
         let own = self.host.settings.address;
         let members = self.host.members.borrow();
-        let previous = self.aggregator;
-        self.aggregator = self.selector.choose(now, own, members.aggregators(now));
-        let is_aggregating = self.aggregator == own || members.has_reporters(now);
+        let previous = self.receivers.aggregator;
+        let aggregator = self.selector.choose(now, own, members.aggregators(now));
+        self.receivers.aggregator = aggregator;
+        let is_aggregating = aggregator == own || members.has_reporters(now);
         drop(members);
-        if self.aggregator != previous {
-            log::info!(event = "aggregator", host = self.aggregator.to_string(); "aggregator of this host's reports changed");
+        if aggregator != previous {
+            log::info!(event = "aggregator", host = aggregator.to_string(); "aggregator of this host's reports changed");
             self.change_aggregator(previous);
         }
         if self.host.is_aggregating.get() && !is_aggregating {
@@ -392,32 +381,21 @@
     /// aggregator.
     fn report(&mut self, now: Instant) {
         let outbox = self.host.outbox.take();
-        let delta = outbox
-            .changed_since
-            .and_then(|version| self.host.replica.borrow().history().since(version));
+        self.send_changes(now, &outbox);
         let in_use = self.host.evidence.borrow().in_use();
-        if self.aggregator == self.host.settings.address {
+        if self.receivers.aggregator == self.host.settings.address {
             for observation in &outbox.outcomes {
                 self.aggregate.add_outcome(observation);
             }
             self.aggregate
                 .replace_counts(&self.reported_in_use, &in_use);
             self.reported_in_use = in_use;
-            if let Some(delta) = delta {
-                self.send_delta(now, &delta);
-            }
             return;
         }
         let is_periodic = has_elapsed(now, self.last_periodic, PERIODIC_INTERVAL);
         let is_changed = in_use != self.reported_in_use;
         let freshness = self.host.replica.borrow().freshness(now);
         let versions = (freshness.configuration, freshness.upstreams);
-        if let Some(delta) = &delta {
-            if self.host.is_aggregating.get() {
-                self.send_delta(now, delta);
-            }
-            self.send_parts(now, Scope::Host, delta);
-        }
         let has_updates = !outbox.outcomes.is_empty() || is_changed;
         if !is_periodic && !has_updates && versions == self.sent_versions {
             return;
@@ -434,7 +412,32 @@
             self.host.evidence.borrow_mut().set_echoed(&in_use);
             self.reported_in_use = in_use;
         }
-        self.send(&report, self.receivers(Scope::Host));
+        self.link.send(
+            now,
+            Priority::Vital,
+            &report,
+            self.receivers.of(Scope::Host),
+        );
+    }
+
+    /// Sends the changes of the list of backend servers that this host has read from
+    /// the store to all hosts, and those that it has fetched to the hosts that get its
+    /// digests. The other zones have their own way to these.
+    fn send_changes(&mut self, now: Instant, outbox: &Outbox) {
+        let since = |version: u64| self.host.replica.borrow().history().since(version);
+        let read = outbox.changed_since.and_then(since);
+        let learned = [outbox.changed_since, outbox.fetched_since];
+        let learned = learned.into_iter().flatten().min().and_then(since);
+        if let Some(delta) = &read {
+            let is_own = self.receivers.aggregator == self.host.settings.address;
+            let scope = if is_own { Scope::Relay } else { Scope::Host };
+            self.send_parts(now, scope, delta);
+        }
+        if let Some(delta) = &learned
+            && self.host.is_aggregating.get()
+        {
+            self.send_parts(now, Scope::Digest, delta);
+        }
     }
 
     /// Creates the next report, with only its origin and the freshness of this
@@ -501,20 +504,19 @@
             return;
         }
         *last = Some(now);
+        if !self.link.allows(now, Priority::Digest) {
+            // What is pending waits; receivers have to see that this host is alive.
+            let report = self.new_report(now, scope);
+            let receivers = self.receivers.of(scope);
+            self.link.send(now, Priority::Vital, &report, receivers);
+            return;
+        }
         for part in self.aggregate.take(audience, upstreams) {
             let mut report = self.new_report(now, scope);
             report.outcomes = part.outcomes;
             report.in_use = Some(part.in_use);
-            self.send(&report, self.receivers(scope));
-        }
-    }
-
-    /// Returns the hosts to which reports of this scope go.
-    fn receivers(&self, scope: Scope) -> &[Ipv4Addr] {
-        match scope {
-            Scope::Host => std::slice::from_ref(&self.aggregator),
-            Scope::Digest => &self.receivers.zone,
-            Scope::Relay => &self.receivers.relays,
+            let receivers = self.receivers.of(scope);
+            self.link.send(now, Priority::Digest, &report, receivers);
         }
     }
 
@@ -536,56 +538,28 @@
                 let mut report = self.new_report(now, scope);
                 report.hello = Some(hello.clone());
                 report.introduced = chunk.to_vec();
-                self.send(&report, to);
+                self.link.send(now, Priority::Change, &report, to);
             }
             let mut report = self.new_report(now, scope);
             report.hello = Some(hello.clone());
             report.listed = Some(listed.clone());
-            self.send(&report, to);
+            self.link.send(now, Priority::Vital, &report, to);
         }
     }
 
-    /// Sends changes of the list of backend servers to this zone and the others.
-    fn send_delta(&mut self, now: Instant, delta: &Delta) {
-        self.send_parts(now, Scope::Digest, delta);
-        self.send_parts(now, Scope::Relay, delta);
-    }
-
     /// Sends changes of the list of backend servers, in as many reports as they
     /// need.
     fn send_parts(&mut self, now: Instant, scope: Scope, delta: &Delta) {
+        let mut reports = SmallVec::<[Report; 8]>::new();
         for part in fragment::split(delta) {
             let mut report = self.new_report(now, scope);
             report.delta = Some(part.delta);
             report.part = part.position;
-            self.send(&report, self.receivers(scope));
-        }
-    }
-
-    fn send(&self, report: &Report, to: &[Ipv4Addr]) {
-        if to.is_empty() {
-            return;
-        }
-        let bytes = match report.encode() {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                log::error!(event = "report_not_encoded", error = error.to_string(); "failed to encode a report");
-                return;
-            }
-        };
-        for address in to {
-            let peer = SocketAddr::from((*address, self.host.settings.peer_port));
-            if let Err(error) = self.socket.try_send_to(&bytes, peer) {
-                // The send buffer is full. Counts and lists are repeated, and a
-                // newer catalog is noticed later; outcomes are lost.
-                log::debug!(event = "report_not_sent", peer = peer.to_string(), error = error.to_string(); "report not sent");
-            }
+            reports.push(report);
         }
-        let metrics = &self.host.metrics;
-        metrics.datagrams_sent.add(to.len() as u64);
-        metrics
-            .datagram_bytes_sent
-            .add((bytes.len() * to.len()) as u64);
+        let receivers = self.receivers.of(scope);
+        self.link
+            .send_all(now, Priority::Change, &reports, receivers);
     }
 
     fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
@@ -601,13 +575,25 @@
         if !self.record(now, &report) {
             return;
         }
-        if report.scope == Scope::Relay {
-            report.scope = Scope::Digest;
-            self.send(&report, self.receivers(Scope::Digest));
+        if report.scope == Scope::Relay && report.delta.is_none() {
+            self.forward(now, &mut report);
         }
         self.update_replica(now, report);
     }
 
+    /// Forwards a report from another zone to the hosts of this one.
+    fn forward(&mut self, now: Instant, report: &mut Report) {
+        let priority = if report.listed.is_some() || !report.introduced.is_empty() {
+            Priority::Change
+        } else {
+            Priority::Forwarded
+        };
+        report.scope = Scope::Digest;
+        let receivers = self.receivers.of(Scope::Digest);
+        self.link.send(now, priority, report, receivers);
+        report.scope = Scope::Relay;
+    }
+
     /// Applies the changes of a report to the copy of the catalog, and has what
     /// this host lacks fetched from the origin.
     fn update_replica(&mut self, now: Instant, mut report: Report) {
@@ -631,15 +617,27 @@
             self.host.catalog_changed();
             // More changes may already be under way.
             self.lacking_list = None;
-            if report.scope == Scope::Host
-                && let Some(delta) = &delta
-            {
-                self.send_delta(now, delta);
+            if let Some(delta) = &delta {
+                self.pass_on(now, report.scope, delta);
             }
         }
         self.fetch_lacking(now, origin, &report.freshness, &own);
     }
 
+    /// Passes a change that was news on to the hosts that have it from nobody else.
+    /// Each change comes from two readers, and only the first report of it is passed
+    /// on.
+    fn pass_on(&mut self, now: Instant, scope: Scope, delta: &Delta) {
+        match scope {
+            Scope::Host => {
+                self.send_parts(now, Scope::Digest, delta);
+                self.send_parts(now, Scope::Relay, delta);
+            }
+            Scope::Relay => self.send_parts(now, Scope::Digest, delta),
+            Scope::Digest => {}
+        }
+    }
+
     /// Has the copy of `origin` fetched if it is newer than this host's, `own`, and
     /// what this host lacks has not come by itself.
     fn fetch_lacking(
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -60,8 +60,11 @@
     /// Outcomes since the last report.
     pub outcomes: Vec<Observation>,
     /// Version of the list of backend servers before the first change that this
-    /// host has to tell others of.
+    /// host has read from the store, to tell all others of.
     pub changed_since: Option<u64>,
+    /// As `changed_since`, of changes that it has fetched from another host, to tell
+    /// the hosts that get its digests of.
+    pub fetched_since: Option<u64>,
     /// Whether to report at once, without waiting for more updates.
     pub urgent: bool,
 }
@@ -296,13 +299,22 @@
         log::warn!(event = event, held_bytes = held, limit_bytes = self.settings.memory.limit_bytes, peak_bytes = peak; "memory for bodies in flight became short or sufficient");
     }
 
-    /// Has the changes of the list of backend servers since the version `before`
-    /// reported to other hosts at once.
+    /// Has the changes of the list of backend servers that were read from the store
+    /// since the version `before` reported to other hosts at once.
     pub(crate) fn announce_changes(&self, before: u64) {
         self.outbox.borrow_mut().changed_since.get_or_insert(before);
         self.request_flush();
     }
 
+    /// As [`Self::announce_changes`], for changes that were fetched from another host,
+    /// if any host reports to this one.
+    pub(crate) fn announce_fetched(&self, before: u64) {
+        if self.members.borrow().has_reporters(self.now()) {
+            self.outbox.borrow_mut().fetched_since.get_or_insert(before);
+            self.request_flush();
+        }
+    }
+
     /// Has pending updates reported to other hosts at once.
     pub(crate) fn request_flush(&self) {
         self.outbox.borrow_mut().urgent = true;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -120,6 +120,8 @@
     pub datagrams_sent: Counter,
     /// Bytes of these datagrams.
     pub datagram_bytes_sent: Counter,
+    /// Datagrams not sent because the host's link was busy.
+    pub datagrams_held_back: Counter,
     /// Store version of the list of backend servers.
     pub list_version: Gauge,
     /// Age of the newest proof that the list is current, in milliseconds.
@@ -213,6 +215,7 @@
             ("datagram_bytes_received", &self.datagram_bytes_received),
             ("datagrams_sent", &self.datagrams_sent),
             ("datagram_bytes_sent", &self.datagram_bytes_sent),
+            ("datagrams_held_back", &self.datagrams_held_back),
         ];
         let mut text = String::new();
         for (name, counter) in counters {
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -456,7 +456,7 @@
         host.catalog_changed();
     }
     // The hosts that this one sends digests to lack the same changes.
-    if (replaced || is_changed) && host.is_aggregating.get() {
-        host.announce_changes(known.upstreams);
+    if replaced || is_changed {
+        host.announce_fetched(known.upstreams);
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,7 +7,8 @@
 };
 
 use dotterelhinge_policy::{
-    aggregation, availability, join, lag, memory, outage, quota, reader, selection, shutdown,
+    aggregation, availability, join, lag, memory, outage, pacing, quota, reader, selection,
+    shutdown,
 };
 use error_stack::Report;
 
@@ -54,8 +55,6 @@
     /// Capacity for work on behalf of other hosts: thousandths of a processor
     /// core, limited by the network link.
     pub strength: u32,
-    /// Capacity of the host's network link in each direction, in bytes a second.
-    pub link_bytes_per_second: u64,
     /// Address for callers.
     pub listen: SocketAddr,
     /// Address for readiness checks of the load balancer.
@@ -82,6 +81,8 @@
     pub availability: availability::Settings,
     /// Which hosts aggregate reports.
     pub aggregation: aggregation::Settings,
+    /// How much may be sent to other hosts.
+    pub pacing: pacing::Settings,
     /// Which hosts read the store.
     pub reader: reader::Settings,
     /// When the processor is too busy for a request.
@@ -154,7 +155,6 @@
             availability_zone: Arc::from("local"),
             address: Ipv4Addr::LOCALHOST,
             strength: 1000,
-            link_bytes_per_second: 125_000_000,
             listen: any_port,
             ready: any_port,
             ready_path: "/ready",
@@ -167,6 +167,7 @@
             join: join::Settings::default(),
             availability: availability::Settings::default(),
             aggregation: aggregation::Settings::default(),
+            pacing: pacing::Settings::default(),
             reader: reader::Settings::default(),
             lag: lag::Settings::default(),
             memory: memory::Settings::default(),
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -19,6 +19,7 @@
     settings::{self, Settings},
     store::{self, Change, Response, Store},
 };
+use dotterelhinge_policy::pacing;
 use error_stack::Report as ErrorReport;
 use futures_util::future::LocalBoxFuture;
 use googletest::prelude::*;
@@ -310,7 +311,10 @@
         availability_zone: "zone-0".into(),
         address: own,
         strength: 200,
-        link_bytes_per_second: LINK_BYTES_PER_SECOND,
+        pacing: pacing::Settings {
+            link_bytes_per_second: LINK_BYTES_PER_SECOND,
+            ..pacing::Settings::default()
+        },
         listen: SocketAddr::from((own, 0)),
         ready: SocketAddr::from((own, 0)),
         peer_port: port,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod membership;
 pub mod memory;
 pub mod outage;
+pub mod pacing;
 pub mod placement;
 pub mod quota;
 pub mod reader;
