Tell callers when servers want requests again, also with the last attempt

A request of which both attempts were turned away with a time (1.2 and 1.3 s) was refused with a random Retry-After (0.78 s in the run of the test before the change): the ends of these times were looked up only before an attempt. They are looked up at the refusal as well. The caller returned before any server wanted it, was refused again, and that costs both sides. Test: a_request_that_uses_up_its_attempts_returns_when_the_ first_server_wants_it failed before; the other nine of gateway_leaving pass.

--- a/crates/gateway/src/proxy/request.rs
+++ b/crates/gateway/src/proxy/request.rs
@@ -348,7 +348,19 @@
         if has_retry {
             self.host.with_quota(&self.service, |quota| quota.refund());
         }
-        last.unwrap_or_else(|| (self.refuse(refusal, resumes_at), refusal.name()))
+        last.unwrap_or_else(|| {
+            let resumes_at = resumes_at.or_else(|| self.resumes_at());
+            (self.refuse(refusal, resumes_at), refusal.name())
+        })
+    }
+
+    /// Returns when the service may get a request again, if all of its servers that
+    /// remain asked for time, possibly in answers to this request.
+    fn resumes_at(&self) -> Option<Instant> {
+        let replica = self.host.replica.borrow();
+        let evidence = self.host.evidence.borrow();
+        let pool = Pool::collect(self.host, &replica, &evidence, &self.service, &[]);
+        pool.tally.resumes_at()
     }
 
     /// Builds the answer to a request that has not run. If no backend server
--- a/crates/standin/tests/gateway_leaving.rs
+++ b/crates/standin/tests/gateway_leaving.rs
@@ -367,6 +367,20 @@
     expect_that!(servers[0].received().len(), eq(1));
 }
 
+// Guards against a caller that is told to return at any time because its request was
+// the one that the last server asked for time.
+#[gtest]
+fn a_request_that_uses_up_its_attempts_returns_when_the_first_server_wants_it() {
+    let servers = [busy_server("1.2"), busy_server("1.3")];
+    let mut fleet = start_with(&servers.each_ref());
+    let answer = fleet.send(0, "POST", "/order/1", b"order");
+    expect_that!(answer.status, some(eq(503)));
+    let asked: usize = servers.iter().map(|server| server.received().len()).sum();
+    expect_that!(asked, eq(2));
+    let seconds: f64 = answer.headers.get("retry-after").unwrap().parse().unwrap();
+    expect_that!(seconds, all![gt(1.0), le(1.2)]);
+}
+
 // Guards against a value that ends the daemon or is taken for another one.
 #[gtest]
 fn odd_times_are_no_wishes() {
