Test of slow readers: give the answers the deadline that the test asks for

a_caller_that_stops_reading_holds_one_window sent a deadline of 8 s, but its route has a timeout of 4 s, which the daemon keeps: beside 24 busy processes one of 8 answers of 64 MB broke off after 4.001 s, at 50 MB (the trace of the earlier failures, which were at 14 and 20 MB). The bound on memory held. The test now has a route with a timeout of 8 s; all checks are as they were.

--- a/crates/standin/tests/gateway_memory.rs
+++ b/crates/standin/tests/gateway_memory.rs
@@ -15,10 +15,11 @@
 use dotterelhinge_standin::{
     capacity::usage,
     client,
-    gateway::{Fleet, Settings, eventually},
+    gateway::{APPLY_TIME, Fleet, Settings, eventually},
     scripted,
 };
 use googletest::prelude::*;
+use serde_json::json;
 
 /// Memory of a small host, in megabytes.
 const SMALL_MB: u32 = 160;
@@ -316,6 +317,9 @@
 /// Size of a long answer.
 const LONG_BYTES: usize = 64 << 20;
 
+/// Deadline of the requests for it.
+const LONG_DEADLINE: Duration = Duration::from_secs(8);
+
 /// What a caller that stops reading may hold: the beginning of the answer, and on
 /// both connections what four reads return and the state of the connection.
 const WINDOW_BYTES: u64 = (1 << 20) + 2 * ((16 << 10) + 4 * (64 << 10));
@@ -326,10 +330,10 @@
     let began = Instant::now();
     let (host, _) = address.split_once(':').unwrap_or_default();
     let mut stream = TcpStream::connect(address)?;
-    let deadline = 2 * DEADLINE.as_millis();
+    let deadline = LONG_DEADLINE.as_millis();
     write!(
         stream,
-        "POST /order/long HTTP/1.1\r\nhost: {host}\r\nx-request-id: late-{number}\r\n\
+        "POST /long/1 HTTP/1.1\r\nhost: {host}\r\nx-request-id: late-{number}\r\n\
          x-deadline-ms: {deadline}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
     )?;
     let mut buffer = vec![0; 64 << 10];
@@ -365,7 +369,12 @@
         memory_mb: SMALL_MB,
         ..Settings::default()
     };
-    let fleet = Fleet::start_with(settings, &[&server]).unwrap_or_else(|error| panic!("{error:?}"));
+    let mut fleet =
+        Fleet::start_with(settings, &[&server]).unwrap_or_else(|error| panic!("{error:?}"));
+    let timeout = format!("{}ms", LONG_DEADLINE.as_millis());
+    let route = json!({"/long/": {"kind": "unsafe", "timeout": timeout}});
+    fleet.configure(&route).unwrap();
+    thread::sleep(APPLY_TIME);
     let address = fleet.caller_address(0);
     let process = fleet.host(0).unwrap().id();
     let idle = usage::read(process).unwrap().resident;
