--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,6 +5,8 @@
 //! aggregator for itself, so that no report is lost while the hosts of a zone
 //! disagree about the aggregator.
 
+mod changes;
+mod digests;
 mod lacking;
 mod link;
 
@@ -21,43 +23,21 @@
 
 use self::{lacking::Lacking, link::Link};
 use crate::{
-    host::{Host, Outbox},
+    host::Host,
     peer::{
-        aggregate::{Aggregate, Audience},
-        fragment::{self, Assembly, Part},
-        report::{Count, MAX_INTRODUCTIONS, Report, Scope},
+        aggregate::Aggregate,
+        fragment::Assembly,
+        report::{Count, Report, Scope},
     },
-    replica::{Delta, Freshness},
     replication::Fetcher,
 };
 
 /// Time for which a host collects outcomes into one report.
 const REPORT_DELAY: Duration = Duration::from_millis(4);
 
-/// Minimum time between digests of updates to the aggregator's own zone.
-/// [`Exchange::slowdown`] prolongs it.
-const ZONE_DIGEST_INTERVAL: Duration = Duration::from_millis(10);
-
-/// As [`ZONE_DIGEST_INTERVAL`], for digests to the other zones, for each of them.
-/// Every host gets the digests of all zones, so that their rate must not grow with
-/// the number of zones.
-const RELAY_DIGEST_INTERVAL_PER_ZONE: Duration = Duration::from_millis(6);
-
-/// Number of other zones up to which the interval between digests to them does not
-/// depend on it.
-const MIN_RELAYS: usize = 2;
-
-/// Time between digests while there are no updates. Other hosts treat a longer
-/// silence as a failure; see [`aggregation::Settings::silence_timeout`].
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Time between periodic reports, and between lists of live hosts.
 const PERIODIC_INTERVAL: Duration = Duration::from_millis(500);
 
-/// One of this many lists of live hosts comes with the identities of all of
-/// them. The others introduce only hosts that are new or leaving.
-const LISTS_PER_FULL_INTRODUCTION: u32 = 4;
-
 /// Time between checks of which hosts are alive.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -65,19 +45,6 @@
 /// suspended.
 const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
 
-/// Maximum neighbours per unit of the aggregator's strength (a thousandth of a
-/// processor core); with more, it sends digests less often.
-const MAX_NEIGHBOURS_PER_STRENGTH: f64 = 0.1;
-
-/// Time for which a newer copy that is known only from another zone is left to
-/// the aggregator to fetch.
-const REMOTE_FETCH_DELAY: Duration = Duration::from_millis(400);
-
-/// Time for which changes of the list that another host already has may still
-/// arrive by themselves, after which they are fetched. An aggregator sends them
-/// at once, in several datagrams.
-const LIST_FETCH_DELAY: Duration = Duration::from_millis(100);
-
 /// Time without a datagram after which a host that knows others counts as cut off.
 /// Even while nothing happens, an aggregator sends ten digests in that time.
 const CUT_OFF_THRESHOLD: Duration = Duration::from_secs(1);
@@ -235,24 +202,6 @@
         self.due = Some(self.due.map_or(due, |before| before.min(due)));
     }
 
-    /// Returns the factor, at least 1, by which the intervals between digests
-    /// are prolonged because this host is weak for its number of neighbours.
-    fn slowdown(&self) -> f64 {
-        let strength = f64::from(self.host.settings.strength.max(1));
-        (self.receivers.zone.len() as f64 / strength / MAX_NEIGHBOURS_PER_STRENGTH).max(1.0)
-    }
-
-    /// Returns the time between digests of updates to this zone.
-    fn zone_digest_interval(&self) -> Duration {
-        ZONE_DIGEST_INTERVAL.mul_f64(self.slowdown())
-    }
-
-    /// Returns the time between digests of updates to the other zones.
-    fn relay_digest_interval(&self) -> Duration {
-        let relays = self.receivers.relays.len().max(MIN_RELAYS);
-        RELAY_DIGEST_INTERVAL_PER_ZONE.mul_f64(relays as f64 * self.slowdown())
-    }
-
     /// Does the work whose timer has expired.
     fn run_due(&mut self) {
         let now = self.host.now();
@@ -420,26 +369,6 @@
         );
     }
 
-    /// Sends the changes of the list of backend servers that this host has read from
-    /// the store to all hosts, and those that it has fetched to the hosts that get its
-    /// digests. The other zones have their own way to these.
-    fn send_changes(&mut self, now: Instant, outbox: &Outbox) {
-        let since = |version: u64| self.host.replica.borrow().history().since(version);
-        let read = outbox.changed_since.and_then(since);
-        let learned = [outbox.changed_since, outbox.fetched_since];
-        let learned = learned.into_iter().flatten().min().and_then(since);
-        if let Some(delta) = &read {
-            let is_own = self.receivers.aggregator == self.host.settings.address;
-            let scope = if is_own { Scope::Relay } else { Scope::Host };
-            self.send_parts(now, scope, delta);
-        }
-        if let Some(delta) = &learned
-            && self.host.is_aggregating.get()
-        {
-            self.send_parts(now, Scope::Digest, delta);
-        }
-    }
-
     /// Creates the next report, with only its origin and the freshness of this
     /// host's copy.
     fn new_report(&mut self, now: Instant, scope: Scope) -> Report {
@@ -454,114 +383,6 @@
         }
     }
 
-    fn send_digests(&mut self, now: Instant) {
-        if !self.host.is_aggregating.get() {
-            return;
-        }
-        let freshness = self.host.replica.borrow().freshness(now);
-        let versions = (freshness.configuration, freshness.upstreams);
-        let is_changed = std::mem::replace(&mut self.sent_versions, versions) != versions;
-        let upstreams = self.host.evidence.borrow().upstreams();
-        if has_elapsed(now, self.last_list, PERIODIC_INTERVAL) {
-            self.last_list = Some(now);
-            self.send_lists(now);
-        }
-        for audience in [Audience::Zone, Audience::OtherZones] {
-            self.send_digest(now, audience, is_changed, &upstreams);
-        }
-    }
-
-    /// Sends what has not been sent to `audience` if its interval has passed, or at
-    /// once if the catalog `is_changed`.
-    fn send_digest(
-        &mut self,
-        now: Instant,
-        audience: Audience,
-        is_changed: bool,
-        upstreams: &[u64],
-    ) {
-        let (scope, interval, last) = match audience {
-            Audience::Zone => (
-                Scope::Digest,
-                self.zone_digest_interval(),
-                &mut self.last_zone_digest,
-            ),
-            Audience::OtherZones => (
-                Scope::Relay,
-                self.relay_digest_interval(),
-                &mut self.last_relay_digest,
-            ),
-        };
-        let is_pending = self.aggregate.has_pending(audience);
-        let is_due = is_changed
-            || has_elapsed(now, *last, HEARTBEAT_INTERVAL)
-            || (is_pending && has_elapsed(now, *last, interval));
-        if !is_due {
-            if is_pending {
-                let due = last.map_or(now, |at| at + interval);
-                self.due = Some(self.due.map_or(due, |before| before.min(due)));
-            }
-            return;
-        }
-        *last = Some(now);
-        if !self.link.allows(now, Priority::Digest) {
-            // What is pending waits; receivers have to see that this host is alive.
-            let report = self.new_report(now, scope);
-            let receivers = self.receivers.of(scope);
-            self.link.send(now, Priority::Vital, &report, receivers);
-            return;
-        }
-        for part in self.aggregate.take(audience, upstreams) {
-            let mut report = self.new_report(now, scope);
-            report.outcomes = part.outcomes;
-            report.in_use = Some(part.in_use);
-            let receivers = self.receivers.of(scope);
-            self.link.send(now, Priority::Digest, &report, receivers);
-        }
-    }
-
-    /// Sends the list of live hosts, also to silent hosts of the zone, so that
-    /// hosts that do not know each other find each other.
-    fn send_lists(&mut self, now: Instant) {
-        self.list_count += 1;
-        let all = self.list_count % LISTS_PER_FULL_INTRODUCTION == 1;
-        let mut members = self.host.members.borrow_mut();
-        let mut zone: Vec<Ipv4Addr> = members.neighbours(now).collect();
-        zone.extend(members.take_due_probes(now));
-        let relays = members.relays(now);
-        let hello = members.own_hello().clone();
-        let listed = members.reporter_addresses(now);
-        let introduced = members.introductions(now, all);
-        drop(members);
-        for (scope, to) in [(Scope::Digest, &zone[..]), (Scope::Relay, &relays[..])] {
-            for chunk in introduced.chunks(MAX_INTRODUCTIONS) {
-                let mut report = self.new_report(now, scope);
-                report.hello = Some(hello.clone());
-                report.introduced = chunk.to_vec();
-                self.link.send(now, Priority::Change, &report, to);
-            }
-            let mut report = self.new_report(now, scope);
-            report.hello = Some(hello.clone());
-            report.listed = Some(listed.clone());
-            self.link.send(now, Priority::Vital, &report, to);
-        }
-    }
-
-    /// Sends changes of the list of backend servers, in as many reports as they
-    /// need.
-    fn send_parts(&mut self, now: Instant, scope: Scope, delta: &Delta) {
-        let mut reports = SmallVec::<[Report; 8]>::new();
-        for part in fragment::split(delta) {
-            let mut report = self.new_report(now, scope);
-            report.delta = Some(part.delta);
-            report.part = part.position;
-            reports.push(report);
-        }
-        let receivers = self.receivers.of(scope);
-        self.link
-            .send_all(now, Priority::Change, &reports, receivers);
-    }
-
     fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
         let mut report = match Report::decode(bytes) {
             Ok(report) => report,
@@ -581,116 +402,6 @@
         self.update_replica(now, report);
     }
 
-    /// Forwards a report from another zone to the hosts of this one.
-    fn forward(&mut self, now: Instant, report: &mut Report) {
-        let priority = if report.listed.is_some() || !report.introduced.is_empty() {
-            Priority::Change
-        } else {
-            Priority::Forwarded
-        };
-        report.scope = Scope::Digest;
-        let receivers = self.receivers.of(Scope::Digest);
-        self.link.send(now, priority, report, receivers);
-        report.scope = Scope::Relay;
-    }
-
-    /// Applies the changes of a report to the copy of the catalog, and has what
-    /// this host lacks fetched from the origin.
-    fn update_replica(&mut self, now: Instant, mut report: Report) {
-        let origin = report.origin();
-        let delta = report.delta.take().and_then(|delta| {
-            let position = report.part;
-            self.assembly.add(origin, Part { delta, position })
-        });
-        let mut replica = self.host.replica.borrow_mut();
-        let known = replica.list_version();
-        let is_changed = delta
-            .as_ref()
-            .is_some_and(|delta| replica.apply_delta(now, delta));
-        replica.compare(now, &report.freshness);
-        let own = replica.freshness(now);
-        drop(replica);
-        if let Some(delta) = &delta {
-            self.log_delta(now, origin, delta, known, is_changed);
-        }
-        if is_changed {
-            self.host.catalog_changed();
-            // More changes may already be under way.
-            self.lacking_list = None;
-            if let Some(delta) = &delta {
-                self.pass_on(now, report.scope, delta);
-            }
-        }
-        self.fetch_lacking(now, origin, &report.freshness, &own);
-    }
-
-    /// Passes a change that was news on to the hosts that have it from nobody else.
-    /// Each change comes from two readers, and only the first report of it is passed
-    /// on.
-    fn pass_on(&mut self, now: Instant, scope: Scope, delta: &Delta) {
-        match scope {
-            Scope::Host => {
-                self.send_parts(now, Scope::Digest, delta);
-                self.send_parts(now, Scope::Relay, delta);
-            }
-            Scope::Relay => self.send_parts(now, Scope::Digest, delta),
-            Scope::Digest => {}
-        }
-    }
-
-    /// Has the copy of `origin` fetched if it is newer than this host's, `own`, and
-    /// what this host lacks has not come by itself.
-    fn fetch_lacking(
-        &mut self,
-        now: Instant,
-        origin: Ipv4Addr,
-        reported: &Freshness,
-        own: &Freshness,
-    ) {
-        let (configuration, list) = (&mut self.lacking_configuration, &mut self.lacking_list);
-        *configuration = Lacking::update(
-            *configuration,
-            now,
-            own.configuration,
-            reported.configuration,
-        );
-        *list = Lacking::update(*list, now, own.upstreams, reported.upstreams);
-        let is_in_zone = self.host.members.borrow().is_in_zone(origin);
-        let (configuration_delay, list_delay) = if !is_in_zone && !self.host.is_aggregating.get() {
-            (REMOTE_FETCH_DELAY, REMOTE_FETCH_DELAY)
-        } else if own.upstreams == 0 {
-            (Duration::ZERO, Duration::ZERO)
-        } else {
-            (Duration::ZERO, LIST_FETCH_DELAY)
-        };
-        let is_configuration_due = reported.configuration > own.configuration
-            && configuration.is_some_and(|lacking| lacking.is_due(now, configuration_delay));
-        let is_list_due = reported.upstreams > own.upstreams
-            && list.is_some_and(|lacking| lacking.is_due(now, list_delay));
-        if is_configuration_due || is_list_due {
-            self.fetcher.request(origin);
-        }
-    }
-
-    /// Logs and counts a change of the list that another host reported when this
-    /// host's list had the version `known`.
-    fn log_delta(&self, now: Instant, from: Ipv4Addr, delta: &Delta, known: u64, is_applied: bool) {
-        let metrics = &self.host.metrics;
-        if is_applied {
-            metrics.list_deltas.increment();
-        } else if delta.version > known {
-            metrics.list_deltas_unfit.increment();
-        }
-        if let Some(left_out) = self.host.log_limits.list.admit(now) {
-            let event = if is_applied {
-                "delta_applied"
-            } else {
-                "delta_ignored"
-            };
-            log::info!(event = event, from = from.to_string(), base = delta.base, version = delta.version, known = known, changes = delta.changes.len(), left_out = left_out; "change of the list of backend servers reported by a daemon");
-        }
-    }
-
     /// Takes a report's evidence into account. Returns `false` if the report
     /// must be dropped; see [`Members::record`].
     ///
