Bound framing without end in answers more tightly, and measure it exactly

Each such answer takes processor time that the host's sound requests need.

Cause: the HTTP library takes framing apart byte by byte, and 80 KiB of it were allowed after the head, besides up to 64 KiB that came with the head. Now an answer's head is read 8 KiB at a time, and 32 KiB may follow until the next part of the body. Connections of callers are as they were: the head of another request may follow a body.

The bound of the test is unchanged; only its clock is exact now, with a test of that.

--- a/crates/gateway/src/proxy/attempt.rs
+++ b/crates/gateway/src/proxy/attempt.rs
@@ -234,7 +234,7 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(event = "upstream_gone", upstream = &*flight.instance.upstream.id, error = error.to_string(); "backend server closed the connection at once");
     }
-    let limit = limited::Limit::new();
+    let limit = limited::Limit::of_answer();
     let permit = flight.host.memory.permit_of(Some(&flight.source));
     let stream = limited::Stream::new(stream, limit.clone(), permit);
     let handshake = http1::Builder::new()
--- a/crates/gateway/src/proxy/connection.rs
+++ b/crates/gateway/src/proxy/connection.rs
@@ -68,7 +68,7 @@
         .map(|configuration| configuration.limits.clone())
         .unwrap_or_default();
     let connection_use = Use::new(&host);
-    let limit = limited::Limit::new();
+    let limit = limited::Limit::of_requests();
     let service = service_fn(|request: Request<Incoming>| {
         connection_use.begin();
         limit.reset();
--- a/crates/gateway/src/proxy/limited.rs
+++ b/crates/gateway/src/proxy/limited.rs
@@ -15,7 +15,8 @@
 /// maximum size of a head. One read returns no more.
 pub(super) const READ_AHEAD_BYTES: usize = 64 << 10;
 
-/// Maximum bytes that one read returns while the memory budget is exhausted.
+/// Maximum bytes that one read returns while the memory budget is exhausted, and
+/// before the head of an answer.
 const MIN_READ_BYTES: usize = 8 << 10;
 
 /// Number of reads whose bytes a connection may hold at a time: what is read waits
@@ -38,8 +39,12 @@
 const MAX_FRAMING_BYTES: usize = 16 << 10;
 
 /// Maximum bytes that are read before the receiver gets anything from them: the
-/// head of a message, or the next part of its body.
-const MAX_OVERHEAD_BYTES: usize = READ_AHEAD_BYTES + MAX_FRAMING_BYTES;
+/// head of a message.
+const MAX_HEAD_BYTES: usize = READ_AHEAD_BYTES + MAX_FRAMING_BYTES;
+
+/// Maximum bytes that are read before the receiver gets the next part of a body. The
+/// HTTP library takes framing apart byte by byte, so that it costs more than a head.
+const MAX_BODY_OVERHEAD_BYTES: usize = READ_AHEAD_BYTES / 4 + MAX_FRAMING_BYTES;
 
 /// Minimum bytes that a read counts as, since a read costs processor time
 /// whatever it returns. A head of 80 fields may come in as many reads.
@@ -47,17 +52,39 @@
 
 /// Number of bytes that may still be read before the receiver gets anything.
 #[derive(Clone, Debug)]
-pub(super) struct Limit(Rc<Cell<usize>>);
+pub(super) struct Limit {
+    left: Rc<Cell<usize>>,
+    /// The number after the receiver got a head or a part of a body.
+    renewed: usize,
+}
 
 impl Limit {
-    /// Returns the limit of a new connection.
-    pub(super) fn new() -> Self {
-        Self(Rc::new(Cell::new(MAX_OVERHEAD_BYTES)))
+    /// Returns the limit of a caller's connection, on which the body of a request may be
+    /// followed by the head of another one.
+    pub(super) fn of_requests() -> Self {
+        Self {
+            left: Rc::new(Cell::new(MAX_HEAD_BYTES)),
+            renewed: MAX_HEAD_BYTES,
+        }
+    }
+
+    /// Returns the limit of a connection with one answer.
+    pub(super) fn of_answer() -> Self {
+        Self {
+            renewed: MAX_BODY_OVERHEAD_BYTES,
+            ..Self::of_requests()
+        }
+    }
+
+    /// Returns whether the head of an answer is still being read, with which the
+    /// beginning of a body may come that has no end to its framing.
+    fn is_before_answer(&self) -> bool {
+        self.left.get() > self.renewed
     }
 
     /// Allows the whole number of bytes again, after the receiver got something.
     pub(super) fn reset(&self) {
-        self.0.set(MAX_OVERHEAD_BYTES);
+        self.left.set(self.renewed);
     }
 }
 
@@ -104,7 +131,7 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let left = self.limit.0.get();
+        let left = self.limit.left.get();
         if left == 0 {
             let error = "too many bytes without a head or a part of a body";
             return Poll::Ready(Err(io::Error::other(error)));
@@ -116,7 +143,12 @@
         }
         // Half of the allowance, so that a body finds room beside.
         let window = self.permit.allowance() / (2 * MAX_WAITING_READS);
-        let window = window.clamp(MIN_READ_BYTES, READ_AHEAD_BYTES);
+        let max_window = if self.limit.is_before_answer() {
+            MIN_READ_BYTES
+        } else {
+            READ_AHEAD_BYTES
+        };
+        let window = window.clamp(MIN_READ_BYTES, max_window);
         let length = buffer.remaining().min(window).min(left);
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
         let polled = Pin::new(&mut self.inner).poll_read(cx, &mut part);
@@ -132,7 +164,7 @@
         let bytes = CONNECTION_BYTES + MAX_WAITING_READS * read;
         let _ = self.permit.resize(bytes);
         let cost = read.max(MIN_READ_COST_BYTES);
-        self.limit.0.set(left.saturating_sub(cost));
+        self.limit.left.set(left.saturating_sub(cost));
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/standin/src/capacity/usage.rs
+++ b/crates/standin/src/capacity/usage.rs
@@ -1,6 +1,8 @@
 //! Processor time and memory of a process, from `/proc`.
 
-use std::fs;
+use std::{fs, time::Duration};
+
+use nix::{time::clock_getcpuclockid, unistd::Pid};
 
 /// Unit of the times in `/proc/<pid>/stat`. The kernel converts to 100 a
 /// second for programs on every architecture that this project builds for.
@@ -50,6 +52,13 @@
     })
 }
 
+/// Returns the processor time that the process has used so far, more exactly than
+/// [`Usage::cpu`], or `None` once it has ended.
+pub fn processor_time(process: u32) -> Option<Duration> {
+    let clock = clock_getcpuclockid(Pid::from_raw(process.try_into().ok()?)).ok()?;
+    clock.now().ok().map(Duration::from)
+}
+
 /// Load averages of the machine over 1, 5 and 15 minutes.
 pub fn load() -> String {
     let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
--- a/crates/standin/tests/capacity.rs
+++ b/crates/standin/tests/capacity.rs
@@ -55,3 +55,15 @@
     expect_that!(usage::resident("VmHWM:\t9000 kB\n"), none());
     expect_that!(usage::resident("VmRSS:\t9000 MB\n"), none());
 }
+
+// Guards against a processor time that is too coarse to compare the cost of a few
+// requests.
+#[googletest::test]
+fn processor_time_is_exact() {
+    let own = std::process::id();
+    let before = usage::processor_time(own).unwrap();
+    let end = std::time::Instant::now() + std::time::Duration::from_millis(5);
+    while std::time::Instant::now() < end {}
+    let used = usage::processor_time(own).unwrap() - before;
+    expect_that!(used.as_secs_f64(), all![gt(0.000_1), lt(1.0)]);
+}
--- a/crates/standin/tests/endless.rs
+++ b/crates/standin/tests/endless.rs
@@ -193,13 +193,14 @@
 /// the daemon for each, in seconds.
 fn cost_of(fleet: &Fleet, path: &str, status: &str, count: u32) -> f64 {
     let process = fleet.host(0).unwrap().id();
-    let before = usage::read(process).unwrap().cpu;
+    let before = usage::processor_time(process).unwrap();
     for _ in 0..count {
         let (answer, _) = ask_within(fleet, path, LONG_DEADLINE_MS);
         let text = String::from_utf8_lossy(&answer);
         expect_that!(text, starts_with(format!("HTTP/1.1 {status}")), "{path}");
     }
-    (usage::read(process).unwrap().cpu - before) / f64::from(count)
+    let used = usage::processor_time(process).unwrap() - before;
+    used.as_secs_f64() / f64::from(count)
 }
 
 // Guards against answers without end that take the processor time which a host
